--- /dev/null
+++ b/src/main/java/eiderscale/Api.java
@@ -0,0 +1,147 @@
+package eiderscale;
+
+import java.util.List;
+
+/**
+ * The interface of the decision module: what goes in (settings and events), what comes out (actions).
+ *
+ * <p>Threading: a {@link Router} belongs to one thread at a time; it starts none and takes no locks.
+ * Clock: every event carries the time in nanoseconds from any fixed origin, never falling; the module
+ * reads no clock of its own. Ownership: values handed in are immutable and may be kept by the module;
+ * actions are called back during an event, in the order in which they must be carried out.
+ */
+public final class Api {
+    private Api() {
+    }
+
+    /** How often a request of a class may take effect. */
+    public enum Effect {
+        /** Repeats do no harm. */
+        RETRYABLE,
+        /** Servers of one group drop repeats for a while. */
+        DEDUP,
+        /** Must never run twice. */
+        FRAGILE
+    }
+
+    /** The servers that drop repeats of a {@link Effect#DEDUP} request for one another. */
+    public enum Group { ALL, ZONE, CELL }
+
+    /** What the list says of a server. */
+    public enum State { READY, DRAINING, GONE }
+
+    /** How a list is to be applied: changed entries, all entries, the last held list, or a failed call. */
+    public enum ListMode { DELTA, FULL, CACHED, FAILED }
+
+    /** How an attempt ended. */
+    public enum Reason {
+        OK(false), ERROR(false), REJECTED(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
+        CANCELLED(false), MOOT(true), MISS(true);
+
+        /** True if the attempt provably never ran. */
+        public final boolean neverRan;
+
+        Reason(boolean neverRan) {
+            this.neverRan = neverRan;
+        }
+
+        /** True if the attempt may still be running at its server. */
+        public boolean mayRunOn() {
+            return this == TIMEOUT || this == RESET || this == CANCELLED;
+        }
+
+        /** True if the server did its part. */
+        public boolean answered() {
+            return this == OK || this == MISS;
+        }
+    }
+
+    /** A request class; times in nanoseconds. {@code inOrder}: requests with one key run one at a time. */
+    public record RequestClass(long aim, double aimStretch, long deadline, double worth, double lateWorth,
+                               Effect effect, Group group, long window, boolean stream, boolean inOrder) {
+    }
+
+    /** A tenant: requests a second within its share over all balancers, and its fraction of service. */
+    public record Tenant(double allowancePerSecond, double fraction) {
+    }
+
+    /** Where the values of a load report stand, -1 if absent. */
+    public record ReportLayout(int inFlight, int queue, int busy) {
+    }
+
+    /** Further attempts allowed within any span: {@code free} and {@code share} of the requests taken. */
+    public record Budget(double free, double share, long span) {
+    }
+
+    /**
+     * What a balancer is told at its start; times in nanoseconds. {@code keyQuiet}: how long a key in order
+     * rests after an attempt that may still be running. {@code budget}: null where there is none.
+     */
+    public record Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
+                           int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
+                           boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
+                           long drainGrace, long askWithin, double coldFrom,
+                           long warmWithin, double tipMultiple, long fallTime, double overShareWorth,
+                           long keyQuiet, Budget budget, ReportLayout report) {
+    }
+
+    /** An entry of the server list. */
+    public record Server(long id, int zone, int kind, int cell, State state, double weight,
+                         long startedAt) {
+    }
+
+    /** A client request. A {@code work} of 0 means no hint; a {@code key} of 0 means none. */
+    public record Request(long id, int requestClass, int tenant, long key, long deadline, long work,
+                          boolean repeat, boolean write) {
+    }
+
+    /** The end of an attempt. {@code closed}: the request has its final answer. */
+    public record Outcome(long request, int attempt, Reason reason, long took, boolean closed,
+                          float[] report) {
+    }
+
+    /** Events in. All times are nanoseconds of the caller's clock. */
+    public interface Events {
+        /** The server list changed, or a call for it failed. */
+        void onList(long now, ListMode mode, List<Server> servers);
+
+        /** A client request arrived; one final answer is owed from here on. */
+        void onRequest(long now, Request request);
+
+        /** An attempt ended. Unknown requests are passed over. */
+        void onOutcome(long now, Outcome outcome);
+
+        /** A streamed answer began. */
+        void onFirstByte(long now, long request, int attempt);
+
+        /** The client left; nothing is owed any more. */
+        void onClientGone(long now, long request);
+
+        /** A timer set by {@link Actions#wakeAt} is due. */
+        void onTimer(long now, int token);
+    }
+
+    /** Actions out. */
+    public interface Actions {
+        /** Starts the next attempt of a request; it is abandoned at {@code cutAt}. */
+        void send(long request, long server, long cutAt);
+
+        /** Ends the wait for one attempt. */
+        void cancel(long request, int attempt);
+
+        /** Final answer: refused, a client's retry does no harm. */
+        void refuse(long request, long retryAfter);
+
+        /** Final answer: failed. */
+        void fail(long request);
+
+        /** Asks for {@link Events#onTimer}. */
+        void wakeAt(long moment, int token);
+
+        /** Closes this balancer's idle connections to a server. */
+        void closeIdle(long server);
+
+        /** Subscribes to changes of the server list. */
+        void subscribe();
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/Router.java
@@ -0,0 +1,436 @@
+package eiderscale;
+
+import eiderscale.Api.*;
+import eiderscale.HostHealth.Host;
+import java.util.*;
+
+/** The decision module: the life of each request and the rules. Its interface is Api.java. */
+public final class Router implements Api.Events {
+    /** UpTo: attempts of one request, the first included. */
+    private static final int UP_TO = 6;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final int TIMER_ALARM = 1;
+    private static final int TIMER_LIST = 2;
+    /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
+    private static final double SUBSCRIBE_SPREAD = 0.5;
+    /** Part of the aim within which the origin answers while it has room. */
+    private static final double QUICK = 0.5;
+    /** Safety taken off the window within which servers drop repeats. */
+    private static final double WINDOW_SAFETY = 0.9;
+
+    /** One send and how it ended. */
+    private static final class Attempt {
+        final Host host;
+        final long sentAt;
+        boolean pending = true;
+        boolean neverRan;
+
+        Attempt(Host host, long sentAt) {
+            this.host = host;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** A request from its arrival until its last attempt has been reported. */
+    private static final class Flight {
+        final Request request;
+        final RequestClass requestClass;
+        final long usefulUntil;
+        final Attempt[] attempts;
+        int sent;
+        int pending;
+        boolean ended;
+        /** Missed at a cache, or sent to the origin: no copy runs beside that. */
+        boolean missed;
+        boolean streaming;
+        /** Waits for its turn: earlier requests of its key are not over. */
+        boolean held;
+        /** When its copy is due, when it tells of overload, and the earlier of the two or end of its wait. */
+        long hedgeAt = NEVER;
+        long slowAt = NEVER;
+        long alarmAt;
+
+        Flight(Request request, RequestClass requestClass, long now, int mostAttempts) {
+            this.request = request;
+            this.requestClass = requestClass;
+            long aim = requestClass.aim() + (long) (requestClass.aimStretch() * request.work());
+            this.usefulUntil = requestClass.lateWorth() > 0 || requestClass.stream()
+                    ? request.deadline() : Math.min(request.deadline(), now + aim);
+            this.attempts = new Attempt[mostAttempts];
+        }
+
+        /** The earliest attempt that is not known never to have run. */
+        Attempt mayHaveRun() {
+            return Arrays.stream(attempts, 0, sent).filter(a -> !a.neverRan).findFirst().orElse(null);
+        }
+
+        boolean ordered() {
+            return requestClass.inOrder() && request.key() != 0;
+        }
+    }
+
+    /** Something to look at in a flight; void if the flight has set another since. */
+    private record Alarm(long at, Flight flight) {
+        boolean isVoid() {
+            return flight.ended || flight.alarmAt != at;
+        }
+    }
+
+    private final Settings settings;
+    private final Actions actions;
+    private final HostHealth health;
+    private final Candidates candidates;
+    private final Hedging hedging;
+    private final Admission admission;
+    private final Map<Long, Flight> flights = new HashMap<>();
+    private final KeyOrder<Flight> order;
+    private final PriorityQueue<Alarm> alarms = new PriorityQueue<>(
+            Comparator.comparingLong(Alarm::at).thenComparingLong(alarm -> alarm.flight.request.id()));
+    private final int mostAttempts;
+    private long timer;
+    private int listFailures;
+
+    /** Starts an instance; its first list follows as an event. */
+    public Router(Settings settings, long seed, Actions actions) {
+        this.settings = settings;
+        this.actions = actions;
+        this.health = new HostHealth(settings, seed);
+        this.candidates = new Candidates(health);
+        this.admission = new Admission(settings);
+        this.hedging = new Hedging(settings.budget());
+        this.order = new KeyOrder<>(settings.keyQuiet());
+        this.mostAttempts = Math.max(1, Math.min(UP_TO, settings.maxAttempts()));
+    }
+
+    @Override
+    public void onList(long now, ListMode mode, List<Server> servers) {
+        health.onList(now, mode, servers);
+        listFailures = mode == ListMode.FAILED ? listFailures + 1 : 0;
+        if (settings.subscribe() && (mode == ListMode.CACHED || mode == ListMode.FAILED)) {
+            askLater(now);
+        }
+    }
+
+    /** Subscribes in this instance's turn: its rank and chance keep the instances out of step. */
+    private void askLater(long now) {
+        double turn = (settings.rank() + health.nextUnit()) / Math.max(1, settings.instances());
+        double spread = settings.askWithin() * SUBSCRIBE_SPREAD * turn;
+        actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
+    }
+
+    @Override
+    public void onRequest(long now, Request request) {
+        hedging.taken(now);
+        RequestClass requestClass = settings.classes().get(request.requestClass());
+        Flight flight = new Flight(request, requestClass, now, mostAttempts);
+        boolean over = admission.overShare(now, request.tenant());
+        boolean worthless = flight.usefulUntil <= now;
+        if (worthless || request.write() && !admission.fill(true, health.nextUnit())
+                || admission.shed(over, request.write(), health.nextUnit())) {
+            actions.refuse(request.id(), over || worthless ? settings.maxRetryAfter() : 0);
+            return;
+        }
+        admission.take(request.tenant());
+        flights.put(request.id(), flight);
+        candidates.count(now, request.key());
+        if (!flight.ordered()) {
+            begin(now, flight);
+            return;
+        }
+        // What would wait past its use is refused at once: guards against lines that grow without bound.
+        flight.held = true;
+        if (now + order.enter(now, request.key(), flight) * admission.writeTime < flight.usefulUntil) {
+            takeTurn(now, flight);
+        } else {
+            finish(now, flight);
+        }
+    }
+
+    /** The fifth rule: starts a held request if its turn has come, ends it if it waited in vain. */
+    private void takeTurn(long now, Flight flight) {
+        long turn = order.turn(flight.request.key(), flight);
+        if (now >= flight.usefulUntil) {
+            finish(now, flight);
+        } else if (now >= turn) {
+            flight.held = false;
+            begin(now, flight);
+        } else {
+            wake(now, flight, Math.min(turn, flight.usefulUntil));
+        }
+    }
+
+    private void begin(long now, Flight flight) {
+        Host host = null;
+        if (!settings.aside() || !flight.request.write()) {
+            health.wanted(now);
+            search(now, flight);
+            host = candidates.leastInFlight();
+        }
+        host = host == null && settings.aside() ? origin() : host;
+        if (host == null) {
+            finish(now, flight);
+            return;
+        }
+        send(now, flight, host);
+        long delay = hedging.delay();
+        if (delay >= 0 && now + delay < flight.usefulUntil && !flight.request.write() && !flight.missed) {
+            flight.hedgeAt = now + Math.max(1, delay);
+        }
+        flight.slowAt = now + admission.slowAfter(flight.requestClass);
+        wake(now, flight, Math.min(flight.hedgeAt, flight.slowAt));
+    }
+
+    private void search(long now, Flight flight) {
+        // Requests without a key spread over all hosts.
+        long key = flight.request.key() != 0 ? flight.request.key() : Candidates.mix(flight.request.id());
+        health.panic = false;
+        double nearness = originQuick(flight) ? health.crowd : 1;
+        candidates.find(now, key, nearness);
+        if (candidates.count == 0) {
+            health.panic = true;
+            candidates.find(now, key, nearness);
+        }
+    }
+
+    private Host origin() {
+        Host best = null;
+        for (Host host : health.origins) {
+            if (best == null || host.inFlight < best.inFlight) {
+                best = host;
+            }
+        }
+        return best;
+    }
+
+    private boolean originQuick(Flight flight) {
+        Host origin = settings.aside() ? origin() : null;
+        return origin != null && origin.latency < flight.requestClass.aim() * QUICK;
+    }
+
+    private void send(long now, Flight flight, Host host) {
+        flight.missed |= health.isOrigin(host);
+        flight.attempts[flight.sent++] = new Attempt(host, now);
+        flight.pending++;
+        health.onSend(now, host);
+        actions.send(flight.request.id(), host.id, flight.usefulUntil);
+    }
+
+    private void wake(long now, Flight flight, long at) {
+        flight.alarmAt = at;
+        if (at != NEVER) {
+            alarms.add(new Alarm(at, flight));
+        }
+        setTimer(now);
+    }
+
+    private void setTimer(long now) {
+        while (!alarms.isEmpty() && alarms.peek().isVoid()) {
+            alarms.poll();
+        }
+        if (!alarms.isEmpty() && (timer <= now || alarms.peek().at < timer)) {
+            timer = Math.max(now + 1, alarms.peek().at);
+            actions.wakeAt(timer, TIMER_ALARM);
+        }
+    }
+
+    @Override
+    public void onTimer(long now, int token) {
+        if (token == TIMER_LIST) {
+            actions.subscribe();
+            return;
+        }
+        while (!alarms.isEmpty() && alarms.peek().at <= now) {
+            Alarm alarm = alarms.poll();
+            if (!alarm.isVoid() && alarm.flight.held) {
+                takeTurn(now, alarm.flight);
+            } else if (!alarm.isVoid()) {
+                lookAgain(now, alarm.flight);
+            }
+        }
+        setTimer(now);
+    }
+
+    /** A flight is still out: its copy may be due, and an answer that is late already tells of overload. */
+    private void lookAgain(long now, Flight flight) {
+        if (now >= flight.slowAt) {
+            flight.slowAt = NEVER;
+            admission.load(now, flight.missed ? 0 : Admission.SLOWNESS);
+        }
+        if (now >= flight.hedgeAt) {
+            flight.hedgeAt = NEVER;
+            hedge(now, flight);
+        }
+        wake(now, flight, Math.min(flight.hedgeAt, flight.slowAt));
+    }
+
+    private void hedge(long now, Flight flight) {
+        if (flight.streaming || flight.missed || flight.pending != 1
+                || flight.sent >= mostAttempts) {
+            return;
+        }
+        search(now, flight);
+        Host host = untried(flight, candidates.width);
+        if (host != null && maySend(now, flight, host)
+                && !admission.overloaded() && hedging.spend(now)) {
+            send(now, flight, host);
+        }
+    }
+
+    private Host untried(Flight flight, int width) {
+        for (int i = 0; i < candidates.count && i < width; i++) {
+            Host host = candidates.top[i];
+            if (Arrays.stream(flight.attempts, 0, flight.sent).noneMatch(a -> a.host == host)) {
+                return host;
+            }
+        }
+        return null;
+    }
+
+    @Override
+    public void onFirstByte(long now, long request, int attempt) {
+        Flight flight = flights.get(request);
+        if (flight != null && !flight.ended) {
+            flight.streaming = true;
+            cancelPending(flight, attempt);
+        }
+    }
+
+    @Override
+    public void onClientGone(long now, long request) {
+        Flight flight = flights.get(request);
+        if (flight != null && !flight.ended) {
+            cancelPending(flight, -1);
+            end(now, flight);
+        }
+    }
+
+    @Override
+    public void onOutcome(long now, Outcome outcome) {
+        Flight flight = flights.get(outcome.request());
+        if (flight == null || outcome.attempt() >= flight.sent
+                || !flight.attempts[outcome.attempt()].pending) {
+            return;
+        }
+        Attempt attempt = flight.attempts[outcome.attempt()];
+        attempt.pending = false;
+        attempt.neverRan = outcome.reason().neverRan;
+        flight.pending--;
+        if (flight.ordered() && outcome.reason().mayRunOn()) {
+            order.rest(now, flight.request.key());
+        }
+        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt);
+        learn(now, flight, attempt, outcome.reason());
+        if (health.connectFailures > HostHealth.CROWDED) {
+            actions.closeIdle(attempt.host.id);
+        }
+        if (flight.ended) {
+            end(now, flight);
+        } else if (outcome.closed()) {
+            if (outcome.reason() == Reason.OK && !flight.request.write() && !health.isOrigin(attempt.host)) {
+                hedging.served(now, now - flight.attempts[0].sentAt);
+            }
+            cancelPending(flight, outcome.attempt());
+            end(now, flight);
+        } else {
+            goOn(now, flight, outcome.reason());
+        }
+    }
+
+    private void learn(long now, Flight flight, Attempt attempt, Reason reason) {
+        if (flight.ordered() && !reason.neverRan) {
+            admission.writeTook(now - attempt.sentAt);
+        }
+        boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
+        if (!health.isOrigin(attempt.host) && (reason == Reason.REJECTED || quick && reason.answered())) {
+            // A full cache while the origin has room tells of a hot key, not of a full fleet.
+            double full = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
+            admission.load(now, reason.answered() ? 1 : full);
+        }
+        if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
+            // Late counts as failed: guards against a queue that makes every fetch late.
+            admission.fillResult(reason != Reason.OK || now - attempt.sentAt > flight.requestClass.aim());
+        } else if (!settings.aside() && flight.request.write()
+                && (reason == Reason.ERROR || reason == Reason.OK)) { // a time-out tells nothing
+            admission.fillResult(reason != Reason.OK);
+        }
+    }
+
+    /** An attempt ended without an answer: wait for another one, try again, or give the final answer. */
+    private void goOn(long now, Flight flight, Reason reason) {
+        flight.missed |= reason == Reason.MISS;
+        if (flight.pending > 0) {
+            return;
+        }
+        if (now < flight.usefulUntil && flight.sent < mostAttempts && reason != Reason.MOOT) {
+            Host host = next(now, flight, reason);
+            if (host != null && maySend(now, flight, host)
+                    && (reason == Reason.MISS || hedging.spend(now))) {
+                send(now, flight, host);
+                return;
+            }
+        }
+        finish(now, flight);
+    }
+
+    private Host next(long now, Flight flight, Reason reason) {
+        // Guards against a hot key's hosts passing it round among them, full, while the origin has room.
+        boolean full = reason == Reason.REJECTED && originQuick(flight);
+        if (settings.aside() && (flight.missed || flight.request.write() || full)) {
+            return flight.request.write() || admission.fill(false, health.nextUnit()) ? origin() : null;
+        }
+        search(now, flight);
+        Host host = untried(flight, candidates.count);
+        return host == null && settings.aside() ? origin() : host;
+    }
+
+    /** The second rule: whether a further send can cause no second effect. */
+    private boolean maySend(long now, Flight flight, Host host) {
+        if (flight.pending > 0 && !settings.mayDuplicate()) {
+            return false;
+        }
+        RequestClass c = flight.requestClass;
+        Attempt first = flight.mayHaveRun();
+        return first == null || c.effect() == Effect.RETRYABLE
+                || c.effect() == Effect.DEDUP && now - first.sentAt <= c.window() * WINDOW_SAFETY
+                && (c.group() != Group.ZONE || first.host.zone == host.zone)
+                && (c.group() != Group.CELL || first.host.cell == host.cell);
+    }
+
+    /** The second rule: a refusal promises that a client's retry does no harm. */
+    private static boolean mayRefuse(Flight flight) {
+        RequestClass c = flight.requestClass;
+        return c.effect() == Effect.RETRYABLE || c.effect() == Effect.DEDUP && c.group() == Group.ALL
+                || flight.mayHaveRun() == null;
+    }
+
+    private void finish(long now, Flight flight) {
+        if (mayRefuse(flight)) {
+            actions.refuse(flight.request.id(), now >= flight.usefulUntil ? settings.maxRetryAfter() : 0);
+        } else {
+            actions.fail(flight.request.id());
+        }
+        cancelPending(flight, -1);
+        end(now, flight);
+    }
+
+    private void cancelPending(Flight flight, int except) {
+        for (int i = 0; i < flight.sent && settings.mayCancel(); i++) {
+            if (flight.attempts[i].pending && i != except) {
+                actions.cancel(flight.request.id(), i);
+            }
+        }
+    }
+
+    /** Forgets a request once its last attempt has been reported. */
+    private void end(long now, Flight flight) {
+        flight.ended = true;
+        if (flight.pending > 0) {
+            return;
+        }
+        flights.remove(flight.request.id());
+        Flight next = flight.ordered() ? order.leave(flight.request.key(), flight) : null;
+        if (next != null && next.held) {
+            takeTurn(now, next);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/eiderscale/SizeLimitsTest.java
@@ -0,0 +1,60 @@
+package eiderscale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** The module stays small enough to be read aloud after an outage. */
+class SizeLimitsTest {
+    private static final int MOST_LINES = 910;
+    private static final int MOST_COLUMNS = 110;
+    private static final Path SOURCES = Path.of("src/main/java/eiderscale");
+
+    private static List<Path> policyFiles() throws IOException {
+        String text = Files.readString(Path.of("deploy/balancer.toml"));
+        Matcher names = Pattern.compile("\"(src/[^\"]+\\.java)\"").matcher(text);
+        List<Path> files = new ArrayList<>();
+        while (names.find()) {
+            files.add(Path.of(names.group(1)));
+        }
+        return files;
+    }
+
+    @Test
+    void theModuleKeepsToItsLines() throws IOException {
+        long lines = 0;
+        for (Path file : policyFiles()) {
+            lines += Files.readAllLines(file).stream().filter(line -> !line.isBlank()).count();
+        }
+        assertTrue(lines > 0 && lines <= MOST_LINES, "non-blank lines: " + lines);
+    }
+
+    @Test
+    void everyFileOfTheModuleIsCounted() throws IOException {
+        try (var files = Files.list(SOURCES)) {
+            List<Path> module = files.filter(f -> f.toString().endsWith(".java")
+                    && !f.endsWith("Api.java")).sorted().toList();
+            assertEquals(module, policyFiles().stream().sorted().toList());
+        }
+    }
+
+    @Test
+    void linesAreShortEnough() throws IOException {
+        List<Path> all = new ArrayList<>(policyFiles());
+        all.add(SOURCES.resolve("Api.java"));
+        for (Path file : all) {
+            for (String line : Files.readAllLines(file)) {
+                assertFalse(line.length() > MOST_COLUMNS, file + ": " + line);
+            }
+        }
+    }
+}
