--- /dev/null
+++ b/src/main/java/eiderscale/net/Catalog.java
@@ -0,0 +1,73 @@
+package eiderscale.net;
+
+import eiderscale.Api;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** A list of cache hosts in discovery's form: all of them, or those that changed. */
+record Catalog(long rev, boolean all, List<Member> members) {
+    private static final int MOST_PORT = 0xffff;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    /** A host as the module knows it, and where it is reached from here. */
+    record Member(Api.Server server, InetSocketAddress endpoint) {
+    }
+
+    static Catalog parse(Map<?, ?> json, Site site) {
+        List<Member> members = new ArrayList<>();
+        for (Object target : Json.list(json, "targets")) {
+            members.add(member(Json.object(target), site));
+        }
+        return new Catalog(Json.get(json, "rev", Number.class).longValue(),
+                Json.get(json, "all", Boolean.class), members);
+    }
+
+    private static Member member(Map<?, ?> json, Site site) {
+        Api.State state = switch (Json.get(json, "state", String.class)) {
+            case "Ready" -> Api.State.READY;
+            case "Terminating" -> Api.State.DRAINING;
+            case "Gone" -> Api.State.GONE;
+            default -> throw new ConfigException("unknown state of a cache host: " + json.get("state"));
+        };
+        // The id comes from the uid, never from the endpoint, which differs from balancer to balancer:
+        // rendezvous hashing and slow start need the same id everywhere.
+        Api.Server server = new Api.Server(hash(Json.get(json, "uid", String.class)),
+                site.zone(Json.get(json, "az", String.class, "")),
+                site.kind(Json.get(json, "model", String.class, "")),
+                Json.get(json, "pod_group", Number.class, 0).intValue(), state,
+                Json.get(json, "capacity_hint", Number.class, 1).doubleValue(),
+                Json.get(json, "boot_ms", Number.class, 0).longValue() * Clock.MILLISECOND);
+        return new Member(server, address(Json.get(json, "endpoint", String.class)));
+    }
+
+    /** FNV-1a: the same 64-bit number for a text at every balancer. */
+    static long hash(String text) {
+        long hash = FNV_OFFSET;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
+        }
+        return hash;
+    }
+
+    /** Reads ADDRESS:PORT; names are not looked up, as there is no DNS. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] address = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            int port = address == null ? -1 : Integer.parseInt(text.substring(colon + 1));
+            if (port >= 0 && port <= MOST_PORT) {
+                return new InetSocketAddress(InetAddress.getByAddress(address), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // Told below.
+        }
+        throw new ConfigException("no address and port: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Command.java
@@ -0,0 +1,135 @@
+package eiderscale.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** A client's read or write, checked, with what is needed to pass it on in the same words. */
+final class Command {
+    private static final int MOST_KEY = 250;
+    private static final int MOST_OPAQUE = 32;
+    private static final int HEX_KEY = 16;
+    /** A longer wait is cut to this: no client means it, and sums with it must not overflow. */
+    private static final long MOST_WAIT_MS = 3_600_000;
+
+    /** A command that cannot be taken; the message is the answer. */
+    static final class Malformed extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Malformed(String what) {
+            super("CLIENT_ERROR " + what, null, false, false);
+        }
+    }
+
+    final boolean write;
+    final String key;
+    final String opaque;
+    final byte[] value;
+    final int requestClass;
+    final int tenant;
+    final long waitMs;
+    final boolean repeat;
+    /** Expected work in nanoseconds, 0 if not told. */
+    final long work;
+    private final String[] figures;
+    private int waitAt = -1;
+
+    Command(MetaFrame frame, Site site) throws Malformed {
+        write = frame.is(0, "ms");
+        value = frame.data();
+        if (frame.words().size() < 2 || frame.words().get(1).length() > MOST_KEY) {
+            throw new Malformed("bad key");
+        }
+        key = frame.words().get(1);
+        int flags = write ? 3 : 2;
+        String id = null;
+        String list = null;
+        boolean wantsValue = false;
+        for (String word : frame.words().subList(flags, frame.words().size())) {
+            switch (word.charAt(0)) {
+                case 'O' -> id = word.substring(1);
+                case 'P' -> list = word.substring(1);
+                case 'v' -> wantsValue = true;
+                default -> throw new Malformed("unknown flag");
+            }
+        }
+        if (id == null || id.isEmpty() || id.length() > MOST_OPAQUE) {
+            throw new Malformed("bad or missing opaque");
+        }
+        if (wantsValue == write) {
+            throw new Malformed(write ? "ms takes no v" : "mg needs v");
+        }
+        opaque = id;
+        figures = list == null ? new String[0] : list.split(",");
+        requestClass = number(site.requestClass(figure("c")), "class");
+        tenant = number(site.tenant(figure("t")), "tenant");
+        waitMs = Math.min(MOST_WAIT_MS, whole("d", -1));
+        if (waitMs < 0) {
+            throw new Malformed("missing d");
+        }
+        repeat = "1".equals(figure("r"));
+        work = Math.min(MOST_WAIT_MS * 1000, whole("h", 0)) * 1000;
+        for (int i = figures.length - 1; i >= 0; i--) {
+            waitAt = figures[i].startsWith("d=") ? i : waitAt;
+        }
+    }
+
+    private static int number(Integer number, String what) throws Malformed {
+        if (number == null) {
+            throw new Malformed("unknown " + what);
+        }
+        return number;
+    }
+
+    private String figure(String name) {
+        return Arrays.stream(figures).filter(f -> f.startsWith(name + "=")).findFirst()
+                .map(f -> f.substring(name.length() + 1)).orElse(null);
+    }
+
+    private long whole(String name, long otherwise) throws Malformed {
+        String text = figure(name);
+        try {
+            long number = text == null ? otherwise : Long.parseLong(text);
+            if (text == null || number >= 0) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below.
+        }
+        throw new Malformed("bad " + name);
+    }
+
+    /** The key as the module's number: hexadecimal keys as they are, others by a hash all balancers share. */
+    long keyNumber() {
+        try {
+            if (key.length() <= HEX_KEY) {
+                return Long.parseUnsignedLong(key, 16);
+            }
+        } catch (NumberFormatException e) {
+            // Any other name for a key.
+        }
+        return Catalog.hash(key);
+    }
+
+    /** The bytes for a cache host: all as it came, but for how long is left to wait. */
+    ByteBuf encode(ByteBufAllocator alloc, long leftMs) {
+        String[] list = figures.clone();
+        list[waitAt] = "d=" + leftMs;
+        String line = (write ? "ms " + key + " " + value.length : "mg " + key + " v") + " O" + opaque
+                + " P" + String.join(",", list) + "\r\n";
+        return line(alloc, line, value);
+    }
+
+    /** A line and, behind it, a data block if there is one. */
+    static ByteBuf line(ByteBufAllocator alloc, String line, byte[] data) {
+        ByteBuf bytes = alloc.buffer(line.length() + (data == null ? 0 : data.length + 2));
+        bytes.writeCharSequence(line, StandardCharsets.ISO_8859_1);
+        if (data != null) {
+            bytes.writeBytes(data);
+            ByteBufUtil.writeShortBE(bytes, '\r' << 8 | '\n');
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -0,0 +1,154 @@
+package eiderscale.net;
+
+import eiderscale.Api.ListMode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Follows discovery's list of cache hosts, from when the module asks until a call fails. */
+final class Discovery {
+    /** Hears every list in order. A failure ends the watch; the module says when to ask again. */
+    interface Listener {
+        void onList(ListMode mode, List<Catalog.Member> members);
+    }
+
+    /** How long a watch may wait for news; each call costs discovery work. */
+    private static final long WAIT_MS = 20_000;
+    /** Silence for so long past that wait is a failure. */
+    private static final long SILENCE_MS = 3_000;
+    private static final int CONNECT_MS = 1_000;
+    /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
+    private static final long LEAST_MS = 100;
+    private static final int MOST_BYTES = 4 * 1024 * 1024;
+
+    private final InetSocketAddress address;
+    private final Site site;
+    private final EventLoop loop;
+    private final Listener listener;
+    private long rev;
+    private boolean watching;
+
+    Discovery(Config config, EventLoop loop, Listener listener) {
+        this.address = config.discovery();
+        this.site = config.site();
+        this.loop = loop;
+        this.listener = listener;
+        this.rev = config.known().rev();
+    }
+
+    /** Begins a watch from the last known version, unless one is on. */
+    void subscribe() {
+        if (!watching) {
+            watching = true;
+            new Call().start();
+        }
+    }
+
+    /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
+    private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final long begun = Clock.now();
+        private Future<?> silence;
+        private boolean over;
+
+        void start() {
+            Channel channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .handler(new ChannelInitializer<>() {
+                        @Override
+                        protected void initChannel(Channel fresh) {
+                            fresh.pipeline().addLast(new HttpClientCodec(),
+                                    new HttpObjectAggregator(MOST_BYTES), Call.this);
+                        }
+                    })
+                    .connect(address).addListener(up -> {
+                        if (!up.isSuccess()) {
+                            fail("no connection: " + up.cause());
+                        }
+                    }).channel();
+            silence = loop.schedule(() -> {
+                fail("silence");
+                channel.close();
+            }, WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/catalog/members?since=" + rev + "&timeout_ms=" + WAIT_MS);
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            ctx.close();
+            if (over) {
+                return;
+            }
+            if (!response.status().equals(HttpResponseStatus.OK) || response.decoderResult().isFailure()) {
+                fail("status " + response.status().code());
+                return;
+            }
+            Catalog catalog;
+            try {
+                catalog = Catalog.parse(Json.parse(ByteBufUtil.getBytes(response.content())), site);
+            } catch (ConfigException e) {
+                fail(e.getMessage());
+                return;
+            }
+            end();
+            rev = catalog.rev();
+            long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
+            loop.schedule(() -> new Call().start(), wait, TimeUnit.MILLISECONDS);
+            listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail("the call broke");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fail(cause.toString());
+            ctx.close();
+        }
+
+        private void end() {
+            over = true;
+            silence.cancel(false);
+        }
+
+        private void fail(String why) {
+            if (over) {
+                return;
+            }
+            end();
+            watching = false;
+            Counters.log("discovery failed: " + why);
+            listener.onList(ListMode.FAILED, List.of());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -0,0 +1,49 @@
+package eiderscale.net;
+
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request that was taken, from its arrival until the outcome of its last attempt. */
+final class Exchange {
+    /** Where the one final answer goes. */
+    interface Client {
+        void answer(String line, byte[] data);
+    }
+
+    final long id;
+    final Command command;
+    /** The latest moment for a final answer, on this program's clock. */
+    final long deadline;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    private final Client client;
+    int pending;
+    /** Answered, or the client is gone: nothing is owed and nothing new goes out. */
+    boolean over;
+    /** Some attempt may have run. */
+    boolean mayHaveRun;
+    Future<?> lastCall;
+
+    Exchange(long id, Command command, long deadline, Client client) {
+        this.id = id;
+        this.command = command;
+        this.deadline = deadline;
+        this.client = client;
+    }
+
+    /** Closes the request; true the first time only, so that there is never a second answer. */
+    boolean close() {
+        boolean first = !over;
+        over = true;
+        if (first && lastCall != null) {
+            lastCall.cancel(false);
+        }
+        return first;
+    }
+
+    void answer(String line, byte[] data) {
+        if (close()) {
+            client.answer(line, data);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -0,0 +1,343 @@
+package eiderscale.net;
+
+import eiderscale.Api;
+import eiderscale.Api.Reason;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Connections to cache hosts, each with one request at a time: never more than a site allows, and an
+ * attempt that is given up then costs no other request its connection. Nothing is ever sent again here.
+ */
+final class HostPool {
+    /** Hears how attempts end, but for those that it abandoned itself. */
+    interface Listener {
+        void onAnswer(Attempt attempt, Reason reason, MetaFrame answer);
+    }
+
+    /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
+     * would end as a reset, which a write cannot repeat. */
+    private static final double IDLE_PART = 0.6;
+    /** Taken off the drain grace, for the way of the last byte. */
+    private static final long GRACE_MARGIN = 100 * Clock.MILLISECOND;
+    private static final long NEVER = Long.MAX_VALUE;
+
+    /** A cache host and what of it is free. */
+    private static final class Host {
+        InetSocketAddress endpoint;
+        boolean gone;
+        /** No send may start from then on. */
+        long sendUntil = NEVER;
+        int links;
+        final Deque<Link> idle = new ArrayDeque<>();
+    }
+
+    private final Site site;
+    private final Counters counters;
+    private final int mostLinks;
+    private final Listener listener;
+    private final Bootstrap bootstrap;
+    private final Map<Long, Host> hosts = new HashMap<>();
+    /** All idle connections, the coldest first. */
+    private final Set<Link> idle = new LinkedHashSet<>();
+    private int links;
+
+    HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
+        this.site = site;
+        this.counters = counters;
+        this.mostLinks = mostLinks;
+        this.listener = listener;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
+    }
+
+    /** Applies a list before the module sees it, so that every host it may name is known here. */
+    void update(Api.ListMode mode, List<Catalog.Member> members) {
+        if (mode == Api.ListMode.FAILED) {
+            return;
+        }
+        long now = Clock.now();
+        Set<Host> unnamed = new LinkedHashSet<>(hosts.values());
+        for (Catalog.Member member : members) {
+            Host host = hosts.computeIfAbsent(member.server().id(), id -> new Host());
+            unnamed.remove(host);
+            if (!member.endpoint().equals(host.endpoint)) {
+                closeIdle(host);
+                host.endpoint = member.endpoint();
+            }
+            host.gone = member.server().state() == Api.State.GONE;
+            if (member.server().state() == Api.State.READY) {
+                host.sendUntil = NEVER;
+            } else {
+                leave(host, now);
+            }
+        }
+        if (mode != Api.ListMode.DELTA) {
+            for (Host host : unnamed) {
+                host.gone = true;
+                leave(host, now);
+            }
+        }
+    }
+
+    private void leave(Host host, long now) {
+        host.sendUntil = Math.min(host.sendUntil, now + Math.max(0, site.settings.drainGrace() - GRACE_MARGIN));
+        closeIdle(host);
+    }
+
+    /** Sends an attempt on the warmest connection, or on a new one where none is free. */
+    void send(Attempt attempt, long server) {
+        Host host = hosts.get(server);
+        if (host == null || Clock.now() >= host.sendUntil) {
+            listener.onAnswer(attempt, Reason.MOOT, null);
+            return;
+        }
+        Link link = host.idle.peekLast();
+        while (link != null && !link.channel.isActive()) {
+            link.leaveIdle();
+            link = host.idle.peekLast();
+        }
+        if (link != null) {
+            link.leaveIdle();
+            link.carry(attempt);
+            link.write();
+        } else if (links >= mostLinks && !evict()) {
+            // No room here is not the host's fault: told as 'not sent', which blames nobody and refuses.
+            counters.localRefusals++;
+            listener.onAnswer(attempt, Reason.MOOT, null);
+        } else {
+            new Link(host).connect(attempt);
+        }
+    }
+
+    /** Ends the wait for an attempt. One that was written costs its connection, as its answer may still come. */
+    void abandon(Attempt attempt) {
+        Link link = attempt.link;
+        if (link != null) {
+            link.release();
+            if (link.sent != null) {
+                link.channel.close();
+            }
+        }
+    }
+
+    void closeIdle(long server) {
+        Host host = hosts.get(server);
+        if (host != null) {
+            closeIdle(host);
+        }
+    }
+
+    private static void closeIdle(Host host) {
+        for (Link link : List.copyOf(host.idle)) {
+            link.retire();
+        }
+    }
+
+    private boolean evict() {
+        Iterator<Link> coldest = idle.iterator();
+        if (!coldest.hasNext()) {
+            return false;
+        }
+        coldest.next().retire();
+        return true;
+    }
+
+    /** Retires connections well before their hosts would, and forgets hosts that are gone. */
+    void sweep() {
+        long oldest = Clock.now() - (long) (site.idleTime * IDLE_PART);
+        for (Link link : List.copyOf(idle)) {
+            if (link.idleSince > oldest) {
+                break;
+            }
+            link.retire();
+        }
+        hosts.values().removeIf(host -> host.gone && host.links == 0);
+    }
+
+    String gauges() {
+        return "hosts " + hosts.size() + " links " + links + " idle " + idle.size();
+    }
+
+    /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
+    final class Link extends SimpleChannelInboundHandler<MetaFrame> {
+        private final Host host;
+        private Channel channel;
+        private Attempt attempt;
+        /** The write of the present attempt; done when its last byte has left. */
+        private ChannelFuture sent;
+        private long idleSince;
+        private boolean counted;
+
+        private Link(Host host) {
+            this.host = host;
+        }
+
+        private void connect(Attempt first) {
+            carry(first);
+            counters.connects++;
+            counted = true;
+            links++;
+            host.links++;
+            ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel fresh) {
+                    fresh.pipeline().addLast(MetaDecoder.ofAnswers(), Link.this);
+                }
+            }).connect(host.endpoint);
+            channel = up.channel();
+            up.addListener(done -> {
+                if (!done.isSuccess()) {
+                    lost();
+                }
+            });
+        }
+
+        private void carry(Attempt next) {
+            attempt = next;
+            next.link = this;
+        }
+
+        private void release() {
+            attempt.link = null;
+            attempt = null;
+        }
+
+        boolean written() {
+            return sent != null && sent.isSuccess();
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            if (attempt == null) {
+                // Cancelled or cut while the connection came up: nothing is written, the connection is kept.
+                goIdle();
+            } else {
+                write();
+            }
+        }
+
+        private void write() {
+            long now = Clock.now();
+            if (now >= host.sendUntil) {
+                // The drain grace ran out while the connection came up.
+                finish(Reason.CONNECT_FAILED, null, true);
+                return;
+            }
+            long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
+            ByteBuf bytes = attempt.exchange.command.encode(channel.alloc(), leftMs);
+            sent = channel.writeAndFlush(bytes);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, MetaFrame answer) {
+            if (attempt == null) {
+                // Nobody asked: what follows on this connection cannot be told apart any more.
+                retire();
+                return;
+            }
+            Reason reason = judge(attempt.exchange.command, answer);
+            boolean garbage = reason == null;
+            if (garbage) {
+                Counters.log("a cache host broke the protocol: "
+                        + (answer.fault() != null ? answer.fault() : answer.words()));
+            }
+            finish(garbage ? Reason.ERROR : reason, answer, garbage || !written());
+        }
+
+        /** What an answer means; null for what the protocol does not allow. */
+        private static Reason judge(Command command, MetaFrame answer) {
+            if (answer.fault() != null) {
+                return null;
+            }
+            if (answer.is(0, "SERVER_ERROR")) {
+                return answer.is(1, "busy") ? Reason.REJECTED : answer.is(1, "failed") ? Reason.ERROR : null;
+            }
+            int flags = answer.is(0, "VA") ? 2 : 1;
+            boolean kind = command.write ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
+                    : answer.is(0, "VA");
+            return kind && command.opaque.equals(answer.flag(flags, 'O')) ? Reason.OK : null;
+        }
+
+        private void finish(Reason reason, MetaFrame answer, boolean close) {
+            Attempt ended = attempt;
+            release();
+            sent = null;
+            if (close) {
+                channel.close();
+            } else {
+                goIdle();
+            }
+            listener.onAnswer(ended, reason, answer);
+        }
+
+        private void goIdle() {
+            if (host.sendUntil != NEVER || !channel.isActive()) {
+                channel.close();
+                return;
+            }
+            idleSince = Clock.now();
+            host.idle.addLast(this);
+            idle.add(this);
+        }
+
+        private void leaveIdle() {
+            host.idle.remove(this);
+            idle.remove(this);
+        }
+
+        private void retire() {
+            leaveIdle();
+            channel.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof java.io.IOException)) {
+                Counters.log("on a connection to a cache host", cause);
+            }
+            ctx.close();
+        }
+
+        private void lost() {
+            leaveIdle();
+            if (counted) {
+                counted = false;
+                links--;
+                host.links--;
+            }
+            if (attempt != null) {
+                // Before its last byte has left a request cannot run; after that it may have.
+                Reason reason = written() ? Reason.RESET : Reason.CONNECT_FAILED;
+                Attempt ended = attempt;
+                release();
+                listener.onAnswer(ended, reason, null);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Main.java
@@ -0,0 +1,41 @@
+package eiderscale.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/** The real balancer as a program: reads its configuration, serves until SIGTERM, and ends with 0. */
+public final class Main {
+    private static final long MOST_STOP_MS = 3_400;
+
+    private Main() {
+    }
+
+    /** Takes no arguments; {@code GW_CONFIG} names the configuration. */
+    public static void main(String[] args) {
+        try {
+            Config config = Config.read(System.getenv("GW_CONFIG"));
+            EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
+            Node node = loop.submit(() -> new Node(config, loop)).get();
+            // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
+            loop.submit(node::start).get().sync();
+            Counters.log(config.name() + " serves on " + config.listen());
+        } catch (ConfigException e) {
+            Counters.log(e.getMessage());
+            Runtime.getRuntime().halt(1);
+        } catch (Exception e) {
+            Counters.log("cannot start: " + e);
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    private static void stop(Node node, EventLoop loop) {
+        try {
+            loop.submit(node::stop).get().await(MOST_STOP_MS);
+        } catch (Exception e) {
+            Counters.log("stopped short: " + e);
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Node.java
@@ -0,0 +1,73 @@
+package eiderscale.net;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.util.concurrent.TimeUnit;
+
+/** One balancer, put together: everything it has lives on one event loop. */
+final class Node {
+    /** After a stop is asked for, clients go on coming for a while; they are served. */
+    private static final long ACCEPT_ON_MS = 600;
+    private static final long LOOK_MS = 10;
+    private static final long SWEEP_MS = 1_000;
+    private static final int SWEEPS_PER_PRINT = 10;
+    /** Descriptors kept for the JVM itself, discovery and the listening socket. */
+    private static final int RESERVE = 96;
+    private static final double CLIENT_PART = 0.45;
+    private static final int SURPLUS = 16;
+
+    private final Config config;
+    private final EventLoop loop;
+    private final Counters counters = new Counters();
+    private final Balancer balancer;
+    private final ClientServer server;
+    private int sweeps;
+
+    /** To be called on the loop, as all of this class. */
+    Node(Config config, EventLoop loop) {
+        this.config = config;
+        this.loop = loop;
+        int room = config.sockets() - Math.min(RESERVE, config.sockets() / 4);
+        int clients = Math.max(1, (int) (room * CLIENT_PART));
+        balancer = new Balancer(config, loop, counters, Math.max(1, room - clients - SURPLUS));
+        server = new ClientServer(balancer, loop, counters, clients, SURPLUS);
+    }
+
+    /** Begins to listen: from then on it is ready to serve. */
+    ChannelFuture start() {
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return server.listen(config.listen());
+    }
+
+    private void sweep() {
+        balancer.sweep();
+        if (++sweeps % SWEEPS_PER_PRINT == 0) {
+            print();
+        }
+    }
+
+    private void print() {
+        counters.print("clients " + server.clients() + " " + balancer.gauges());
+    }
+
+    /** Stops in order; the future is done when every request has been answered and every client is gone. */
+    Future<Void> stop() {
+        Promise<Void> done = loop.newPromise();
+        loop.schedule(() -> {
+            server.close();
+            await(done);
+        }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+        return done;
+    }
+
+    private void await(Promise<Void> done) {
+        if (server.clients() == 0 && balancer.open() == 0) {
+            print();
+            done.setSuccess(null);
+        } else {
+            loop.schedule(() -> await(done), LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/eiderscale/sim/SettingsParser.java
+++ b/src/main/java/eiderscale/sim/SettingsParser.java
@@ -12,7 +12,7 @@
  * Reads the settings lines of the wire. Unknown keys are skipped; a missing key gets a default that is
  * safe: the strictest effect, no copies, no cancelling, one attempt, the slowest warm-up.
  */
-final class SettingsParser {
+public final class SettingsParser {
     private static final long SECOND = 1_000_000_000L;
     private static final long DEFAULT_DEADLINE = SECOND;
     private static final double DEFAULT_COLD = 0.1;
@@ -33,7 +33,8 @@
         }
     }
 
-    static Api.Settings parse(String text) {
+    /** Both sides read their settings here, so that the same text means the same to them. */
+    public static Api.Settings parse(String text) {
         return new SettingsParser(text).settings();
     }
 
