Test the balancer over loopback; end answers whole; survive a refused discovery

Cause: Discovery.Call.start set 'silence' after connect(). Excluded: the module (it asks again after FAILED, which it never got) and the far end (refusing). Also mended, found by reading: a connection closed behind a long answer could cut it short; a burst of accepts evicted one idle connection many times over; the stop was bounded by a constant instead of the longest deadline.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -2,7 +2,6 @@
 
 import eiderscale.Api;
 import eiderscale.Api.Reason;
-import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -29,13 +28,18 @@
     /** Bytes of values that open requests may hold together; the heap has room for a few times that. */
     private static final long MOST_HELD = 8L * 1024 * 1024;
 
+    /** Makes the decision module, given where its actions go. */
+    interface Module {
+        Api.Events create(Api.Settings settings, long seed, Api.Actions actions);
+    }
+
     private record Event(Exchange exchange, Runnable action) {
     }
 
     private final Site site;
     private final EventLoop loop;
     private final Counters counters;
-    private final Router router;
+    private final Api.Events router;
     private final HostPool pool;
     private final Discovery discovery;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -45,13 +49,14 @@
     private int open;
     private long held;
 
-    Balancer(Config config, EventLoop loop, Counters counters, int mostConnections) {
+    Balancer(Config config, EventLoop loop, Counters counters, Module module,
+             int mostConnections) {
         this.site = config.site();
         this.loop = loop;
         this.counters = counters;
         this.pool = new HostPool(site, loop, counters, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
-        this.router = new Router(site.settings, config.seed(), this);
+        this.router = module.create(site.settings, config.seed(), this);
         Catalog known = config.known();
         onList(Api.ListMode.CACHED, known.members());
     }
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -2,8 +2,10 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -137,7 +139,11 @@
             if (!longest.hasNext()) {
                 return false;
             }
-            longest.next().channel.close();
+            Connection evicted = longest.next();
+            // Counted out now, as the channel reports its end only later: a burst would evict but one.
+            longest.remove();
+            connections.remove(evicted);
+            evicted.channel.close();
             return true;
         }
 
@@ -212,7 +218,10 @@
         /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
         void adjust() {
             if (slots.isEmpty() && (closing || quitting)) {
-                channel.close();
+                // Behind what is still being written: a close at once would cut a long answer short.
+                quitting = true;
+                channel.config().setAutoRead(false);
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
                 // A client that does not read its answers must not take the memory of the others.
                 channel.close();
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -34,8 +35,8 @@
 
     /** How long a watch may wait for news; each call costs discovery work. */
     private static final long WAIT_MS = 20_000;
-    /** Silence for so long past that wait is a failure. */
-    private static final long SILENCE_MS = 3_000;
+    /** Silence for so long past that wait is a failure; a call may stand in line for two seconds. */
+    private static final long SILENCE_MS = 2_500;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -68,10 +69,13 @@
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final long begun = Clock.now();
         private Future<?> silence;
+        private Channel channel;
         private boolean over;
 
         void start() {
-            Channel channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            // Before the connection: a refused one may fail within this very call.
+            silence = loop.schedule(() -> fail("silence"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+            ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new ChannelInitializer<>() {
@@ -81,15 +85,13 @@
                                     new HttpObjectAggregator(MOST_BYTES), Call.this);
                         }
                     })
-                    .connect(address).addListener(up -> {
-                        if (!up.isSuccess()) {
-                            fail("no connection: " + up.cause());
-                        }
-                    }).channel();
-            silence = loop.schedule(() -> {
-                fail("silence");
-                channel.close();
-            }, WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+                    .connect(address);
+            channel = up.channel();
+            up.addListener(done -> {
+                if (!done.isSuccess()) {
+                    fail("no connection: " + done.cause().getMessage());
+                }
+            });
         }
 
         @Override
@@ -133,7 +135,6 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail(cause.toString());
-            ctx.close();
         }
 
         private void end() {
@@ -146,6 +147,7 @@
                 return;
             }
             end();
+            channel.close();
             watching = false;
             Counters.log("discovery failed: " + why);
             listener.onList(ListMode.FAILED, List.of());
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -308,9 +308,19 @@
 
         private void retire() {
             leaveIdle();
+            uncount();
             channel.close();
         }
 
+        /** Gives its place free once, as soon as its end is sure. */
+        private void uncount() {
+            if (counted) {
+                counted = false;
+                links--;
+                host.links--;
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             lost();
@@ -326,11 +336,7 @@
 
         private void lost() {
             leaveIdle();
-            if (counted) {
-                counted = false;
-                links--;
-                host.links--;
-            }
+            uncount();
             if (attempt != null) {
                 // Before its last byte has left a request cannot run; after that it may have.
                 Reason reason = written() ? Reason.RESET : Reason.CONNECT_FAILED;
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -1,13 +1,12 @@
 package eiderscale.net;
 
+import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /** The real balancer as a program: reads its configuration, serves until SIGTERM, and ends with 0. */
 public final class Main {
-    private static final long MOST_STOP_MS = 3_400;
-
     private Main() {
     }
 
@@ -16,7 +15,7 @@
         try {
             Config config = Config.read(System.getenv("GW_CONFIG"));
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
-            Node node = loop.submit(() -> new Node(config, loop)).get();
+            Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
@@ -32,7 +31,7 @@
 
     private static void stop(Node node, EventLoop loop) {
         try {
-            loop.submit(node::stop).get().await(MOST_STOP_MS);
+            loop.submit(node::stop).get().await();
         } catch (Exception e) {
             Counters.log("stopped short: " + e);
         }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.Api;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -26,12 +27,12 @@
     private int sweeps;
 
     /** To be called on the loop, as all of this class. */
-    Node(Config config, EventLoop loop) {
+    Node(Config config, EventLoop loop, Balancer.Module module) {
         this.config = config;
         this.loop = loop;
         int room = config.sockets() - Math.min(RESERVE, config.sockets() / 4);
         int clients = Math.max(1, (int) (room * CLIENT_PART));
-        balancer = new Balancer(config, loop, counters, Math.max(1, room - clients - SURPLUS));
+        balancer = new Balancer(config, loop, counters, module, Math.max(1, room - clients - SURPLUS));
         server = new ClientServer(balancer, loop, counters, clients, SURPLUS);
     }
 
@@ -49,25 +50,33 @@
     }
 
     private void print() {
-        counters.print("clients " + server.clients() + " " + balancer.gauges());
+        counters.print(gauges());
+    }
+
+    String gauges() {
+        return "clients " + server.clients() + " " + balancer.gauges();
     }
 
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
+        long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
+                .orElse(0);
+        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + longest;
         loop.schedule(() -> {
             server.close();
-            await(done);
+            await(done, end);
         }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         return done;
     }
 
-    private void await(Promise<Void> done) {
-        if (server.clients() == 0 && balancer.open() == 0) {
+    private void await(Promise<Void> done, long end) {
+        // By the end every deadline has passed: only a client that does not read can still be there.
+        if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
             print();
             done.setSuccess(null);
         } else {
-            loop.schedule(() -> await(done), LOOK_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> await(done, end), LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- /dev/null
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -0,0 +1,137 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderscale.Api;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** The watch on the list of hosts: from the latest version, and on after every failure. */
+class DiscoveryTest {
+    /** What the module was told: the mode and how many hosts. */
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+
+    /** Answers each call with the next prepared answer; an empty one is a reset. */
+    private FakeHost discovery() throws IOException {
+        return new FakeHost(peer -> {
+            String request = peer.line();
+            for (String line = request; line != null && !line.isEmpty(); ) {
+                line = peer.line();
+            }
+            calls.add(request);
+            try {
+                String answer = answers.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
+                if (answer == null || answer.isEmpty()) {
+                    peer.reset();
+                } else {
+                    peer.write(answer);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private static String ok(String json) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + json.length() + "\r\n\r\n" + json;
+    }
+
+    private static String list(int rev, boolean all, String... targets) {
+        return ok("{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}");
+    }
+
+    /** A module that subscribes whenever it may and writes down what it is told. */
+    private Api.Events recording(Api.Actions actions) {
+        return new Scripted(actions) {
+            @Override
+            public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                told.add(mode + " " + servers.size());
+                if (mode == Api.ListMode.CACHED || mode == Api.ListMode.FAILED) {
+                    actions.wakeAt(now, 1);
+                }
+            }
+
+            @Override
+            public void onTimer(long now, int token) {
+                actions.subscribe();
+            }
+        };
+    }
+
+    private static String next(BlockingQueue<String> queue) throws InterruptedException {
+        return queue.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void theWatchGoesOnFromTheLatestVersionAndOnAfterFailures() throws Exception {
+        try (FakeHost discovery = discovery(); Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            String host = Rig.target("s-9", "127.0.0.1:9", "Ready");
+            answers.add(list(41, false, host));
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=7&timeout_ms="));
+            assertEquals("DELTA 1", next(told));
+            answers.add(list(43, true, host, host));
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=41&timeout_ms="));
+            assertEquals("FULL 2", next(told));
+            List<String> failures = List.of("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "",
+                    ok("{\"rev\":44}"), ok("nonsense"), "garbage\r\n\r\n",
+                    list(44, false, Rig.target("s-9", "127.0.0.1:9", "Unknown")),
+                    list(44, false, Rig.target("s-9", "no address", "Ready")));
+            for (String failure : failures) {
+                answers.add(failure);
+                assertTrue(next(calls).startsWith("GET /catalog/members?since=43&timeout_ms="));
+                assertEquals("FAILED 0", next(told), failure);
+            }
+            answers.add(list(45, false));
+            assertTrue(next(calls).startsWith("GET /catalog/members?since=43&timeout_ms="));
+            assertEquals("DELTA 0", next(told));
+        }
+    }
+
+    /** A refused connection can fail within the call that opens it; that once left the watch dead for good. */
+    @Test
+    void aRefusedConnectionIsAFailureAndIsAskedAgain() throws Exception {
+        FakeHost discovery = discovery();
+        discovery.stop();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertEquals("FAILED 0", next(told));
+            assertEquals("FAILED 0", next(told));
+            assertEquals("FAILED 0", next(told));
+        }
+    }
+
+    /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
+    @Test
+    void aHostsIdComesFromItsUidAlone() throws Exception {
+        Site site;
+        try (Rig rig = new Rig()) {
+            site = new Site(Json.parse(rig.settings().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        }
+        Catalog here = parse(Rig.target("s-5be2a07c", "127.0.0.1:11211", "Ready"), site);
+        Catalog there = parse(Rig.target("s-5be2a07c", "127.9.0.1:11211", "Terminating"), site);
+        Catalog other = parse(Rig.target("s-5be2a07d", "127.0.0.1:11211", "Gone"), site);
+        assertEquals(here.members().get(0).server().id(), there.members().get(0).server().id());
+        assertTrue(here.members().get(0).server().id() != other.members().get(0).server().id());
+        assertEquals(Api.State.DRAINING, there.members().get(0).server().state());
+        assertEquals(Api.State.GONE, other.members().get(0).server().state());
+    }
+
+    private static Catalog parse(String target, Site site) {
+        String text = "{\"rev\":1,\"all\":true,\"targets\":[" + target + "]}";
+        return Catalog.parse(Json.parse(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)), site);
+    }
+}
