--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** One balancer, put together: everything it has lives on one event loop. */
@@ -57,6 +58,11 @@
         return "clients " + server.clients() + " " + balancer.gauges();
     }
 
+    /** A list of hosts from elsewhere than discovery. */
+    void onList(Api.ListMode mode, List<Catalog.Member> members) {
+        balancer.onList(mode, members);
+    }
+
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
--- /dev/null
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -0,0 +1,108 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Connections that are long in coming up: what ended meanwhile must not be written once they are. */
+class ConnectingTest {
+    /** A listening socket whose accept queue is full: connections to it come up only when it accepts. */
+    private static final class FullHost implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        final List<Socket> fillers = new ArrayList<>();
+
+        FullHost() throws IOException {
+            for (int i = 0; i < 2; i++) {
+                fillers.add(new Socket(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+            }
+        }
+
+        String target() {
+            return Rig.target("s-full", "127.0.0.1:" + server.getLocalPort(), "Ready");
+        }
+
+        Peer accept() throws IOException {
+            server.setSoTimeout(Peer.LIMIT_MS);
+            while (!fillers.isEmpty()) {
+                server.accept().close();
+                fillers.remove(0).close();
+            }
+            return new Peer(server.accept());
+        }
+
+        @Override
+        public void close() throws IOException {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            server.close();
+        }
+    }
+
+    @Test
+    void whatWasCutWhileItsConnectionCameUpIsNeverWritten() throws Exception {
+        try (FullHost host = new FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.connectMs = Peer.LIMIT_MS;
+            rig.start();
+            try (Peer client = rig.client()) {
+                assertEquals("SERVER_ERROR busy 2000", client.ask("ms 1 1 O1 Pc=copy,t=acme,d=100\r\nx"),
+                        "never written, so never run: trying again is harmless");
+                try (Peer leaver = rig.client()) {
+                    leaver.write("ms 1 1 O2 Pc=copy,t=acme,d=9000\r\nx\r\n");
+                    ServingTest.awaitGauge(rig, " links 2 ");
+                }
+                // Both connections come up now, and the first command on them is one sent later.
+                try (Peer first = host.accept(); Peer second = host.accept()) {
+                    ServingTest.awaitGauge(rig, " idle 2");
+                    client.write("ms 1 1 O3 Pc=copy,t=acme,d=9000\r\nx\r\nms 1 1 O4 Pc=copy,t=acme,d=9000\r\nx\r\n");
+                    for (Peer peer : List.of(first, second)) {
+                        String command = peer.line();
+                        assertTrue(command.contains(" O3 ") || command.contains(" O4 "), command);
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpIsGivenUpInTime() throws Exception {
+        try (FullHost host = new FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.connectMs = 50;
+            rig.start();
+            try (Peer client = rig.client()) {
+                assertEquals("SERVER_ERROR busy", client.ask(Rig.COPY));
+                ServingTest.awaitGauge(rig, " links 0 ");
+            }
+        }
+    }
+
+    @Test
+    void noSendStartsPastTheDrainGrace() throws Exception {
+        try (FullHost host = new FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.connectMs = Peer.LIMIT_MS;
+            rig.graceMs = 0;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(Rig.COPY + "\r\n");
+                ServingTest.awaitGauge(rig, " links 1 ");
+                Catalog drained = Catalog.parse(Json.parse(("{\"rev\":8,\"all\":false,\"targets\":["
+                        + host.target().replace("Ready", "Terminating") + "]}").getBytes()), rig.site());
+                rig.loop.submit(() -> rig.node.onList(eiderscale.Api.ListMode.DELTA, drained.members())).get();
+                try (Peer peer = host.accept()) {
+                    assertEquals("SERVER_ERROR busy", client.line());
+                    assertEquals(null, peer.line(), "closed without a command");
+                }
+            }
+        }
+    }
+}
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -119,7 +119,7 @@
     void aHostsIdComesFromItsUidAlone() throws Exception {
         Site site;
         try (Rig rig = new Rig()) {
-            site = new Site(Json.parse(rig.settings().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+            site = rig.site();
         }
         Catalog here = parse(Rig.target("s-5be2a07c", "127.0.0.1:11211", "Ready"), site);
         Catalog there = parse(Rig.target("s-5be2a07c", "127.9.0.1:11211", "Terminating"), site);
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -33,10 +33,12 @@
                "multiplex":1,"retry-after":true},
              "discovery":"subscribe","load-report":{"fields":["busy"],"source":"answers"},
              "guarantees":{"ask-within-ns":2000000,"cold-from":0.2,"fall-ns":2000000000,
-               "stop-sending-within-ns":%5$d000000,"tip-multiple":4.0,"warm-within-ns":20000000000}}
+               "stop-sending-within-ns":%5$d,"tip-multiple":4.0,"warm-within-ns":20000000000}}
             """;
 
     final List<FakeHost> hosts = new ArrayList<>();
+    /** Further hosts, as discovery lists them. */
+    final List<String> extraTargets = new ArrayList<>();
     long deadlineMs = 10_000;
     long idleMs = 30_000;
     long connectMs = 5_000;
@@ -60,11 +62,12 @@
     }
 
     String settings() {
-        return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen, graceMs);
+        return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
+                graceMs * Clock.MILLISECOND);
     }
 
     String config(String listen) {
-        List<String> targets = new ArrayList<>();
+        List<String> targets = new ArrayList<>(extraTargets);
         for (FakeHost host : hosts) {
             targets.add(target("s-" + targets.size(), host.endpoint(), "Ready"));
         }
@@ -74,6 +77,10 @@
                 + "]},\"settings\":" + settings() + "}";
     }
 
+    Site site() {
+        return new Site(Json.parse(settings().getBytes(StandardCharsets.UTF_8)));
+    }
+
     Rig start() throws Exception {
         group = new NioEventLoopGroup(1);
         loop = group.next();
--- /dev/null
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -0,0 +1,140 @@
+package eiderscale.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.util.concurrent.Future;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** An orderly stop loses nothing that was taken. */
+class StopTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void aStopServesOnForAWhileThenFinishesWhatIsOpen() throws Exception {
+        String value = "v".repeat(MetaFrame.MOST_VALUE);
+        FakeHost[] host = new FakeHost[1];
+        host[0] = new FakeHost(peer -> {
+            String command = host[0].next(peer);
+            while (command != null) {
+                if (command.contains(" Olong ")) {
+                    try {
+                        Thread.sleep(1_500);
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                }
+                peer.write(FakeHost.value(command, value));
+                command = host[0].next(peer);
+            }
+        });
+        try (Rig rig = new Rig(host).start(); Peer idle = rig.client(); Peer busy = rig.slowClient()) {
+            assertEquals("MN", idle.ask("mn"));
+            busy.write("mg 1 v Olong Pc=read,t=acme,d=9000\r\n");
+            host[0].command();
+            Future<?> stopped = rig.loop.submit(rig.node::stop).get();
+            try (Peer late = rig.client()) {
+                assertEquals("VA 65536 O1", late.ask(Rig.READ), "clients still come for a while");
+                late.data(value.length());
+                assertEquals(null, late.line(), "closed when idle");
+            }
+            assertEquals(null, idle.line());
+            assertFalse(stopped.isDone(), "a request is open");
+            assertEquals("VA 65536 Olong", busy.line());
+            assertEquals(value, busy.data(value.length()), "whole, though the connection closes behind it");
+            assertEquals(null, busy.line());
+            assertTrue(stopped.await(Peer.LIMIT_MS));
+            assertThrows(IOException.class, rig::client);
+        }
+    }
+
+    private Process start(String config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
+                "eiderscale.net.Main");
+        builder.environment().remove("GW_CONFIG");
+        if (config != null) {
+            builder.environment().put("GW_CONFIG", config);
+        }
+        return builder.start();
+    }
+
+    private static BufferedReader log(Process process) {
+        return new BufferedReader(new InputStreamReader(process.getErrorStream(), StandardCharsets.UTF_8));
+    }
+
+    private static int exit(Process process) throws InterruptedException {
+        try {
+            assertTrue(process.waitFor(Peer.LIMIT_MS, TimeUnit.MILLISECONDS));
+            return process.exitValue();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void theProgramServesAndEndsWithZeroOnSigterm() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            int port = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
+            Process process = start(config.toString());
+            try {
+                BufferedReader log = log(process);
+                String line = log.readLine();
+                while (line != null && !line.contains("serves on")) {
+                    line = log.readLine();
+                }
+                try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                    assertEquals("MN", client.ask("mn"));
+                    assertEquals("HD O2 c77", client.ask(Rig.COPY));
+                    process.destroy();
+                    assertEquals("HD O2 c77", client.ask(Rig.COPY), "served after SIGTERM too");
+                    client.awaitEnd();
+                }
+            } finally {
+                assertEquals(0, exit(process));
+            }
+        }
+    }
+
+    @Test
+    void withoutConfigurationTheProgramSaysWhyInOneLineAndFails() throws Exception {
+        Path broken = Files.writeString(folder.resolve("broken.json"), "{\"listen\":");
+        for (String config : new String[] {null, folder.resolve("missing.json").toString(), broken.toString()}) {
+            Process process = start(config);
+            assertEquals(1, log(process).lines().count());
+            assertEquals(1, exit(process));
+        }
+    }
+
+    @Test
+    void anAddressThatIsTakenEndsTheProgram() throws Exception {
+        try (Rig rig = new Rig(); ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Path config = Files.writeString(folder.resolve("config.json"),
+                    rig.config("127.0.0.1:" + taken.getLocalPort()));
+            Process process = start(config.toString());
+            assertEquals(1, log(process).lines().filter(line -> line.contains("cannot start")).count());
+            assertEquals(1, exit(process));
+        }
+    }
+}
