--- a/src/test/java/eiderscale/net/FakeHost.java
+++ b/src/test/java/eiderscale/net/FakeHost.java
@@ -27,10 +27,11 @@
     /** Takes an element for every connection that its far end has closed. */
     final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
     private final ServerSocket server;
+    private final Thread acceptor;
 
     FakeHost(Script script) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        thread(() -> {
+        acceptor = thread(() -> {
             while (true) {
                 Socket socket = server.accept();
                 connections.incrementAndGet();
@@ -47,7 +48,7 @@
         void run() throws IOException;
     }
 
-    private static void thread(Task task) {
+    private static Thread thread(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -57,6 +58,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** A host that answers every command. */
@@ -126,8 +128,10 @@
     }
 
     /** Refuses connections from now on. */
-    void stop() throws IOException {
+    void stop() throws IOException, InterruptedException {
         server.close();
+        // The kernel keeps listening while a thread is still inside its accept.
+        acceptor.join(Peer.LIMIT_MS);
     }
 
     @Override
