Handle SIGHUP: follow discovery to its new address without ending the JVM

Lines at fault: Main.main, Discovery's final address. Now a handler stands before anything slow; on the loop the file is read again, the call to the old address is dropped without FAILED, and the new address is asked for the whole list at once. A bad file changes nothing.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -112,6 +112,11 @@
         end(attempt, reason, answer);
     }
 
+    /** The configuration was replaced: of what it tells, where discovery is may change under way. */
+    void reload(Config fresh) {
+        discovery.moveTo(fresh.discovery());
+    }
+
     Site site() {
         return site;
     }
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -42,12 +42,15 @@
     private static final long LEAST_MS = 100;
     private static final int MOST_BYTES = 4 * 1024 * 1024;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Site site;
     private final EventLoop loop;
     private final Listener listener;
     private long rev;
-    private boolean watching;
+    /** Versions are one service's own: after a move the first call asks for the whole list. */
+    private boolean moved;
+    /** The call that is out or about to begin; null while nobody watches. */
+    private Call current;
 
     Discovery(Config config, EventLoop loop, Listener listener) {
         this.address = config.discovery();
@@ -59,20 +62,43 @@
 
     /** Begins a watch from the last known version, unless one is on. */
     void subscribe() {
-        if (!watching) {
-            watching = true;
-            new Call().start();
+        if (current == null) {
+            current = new Call();
+            current.start();
         }
     }
 
+    /**
+     * Discovery is to be found elsewhere. The call to the old address is dropped without a word, as its end is
+     * no failure that anyone should wait after, and the new address is asked at once: the old one tells nothing
+     * any more, and what the new one knows is wanted within seconds.
+     */
+    void moveTo(InetSocketAddress fresh) {
+        if (fresh.equals(address)) {
+            return;
+        }
+        Counters.log("discovery moves from " + address + " to " + fresh);
+        address = fresh;
+        moved = true;
+        if (current != null) {
+            current.drop();
+        }
+        current = new Call();
+        current.start();
+    }
+
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private final long begun = Clock.now();
+        private long begun;
         private Future<?> silence;
         private Channel channel;
         private boolean over;
 
         void start() {
+            if (over) {
+                return;
+            }
+            begun = Clock.now();
             // Before the connection: a refused one may fail within this very call.
             silence = loop.schedule(() -> fail("silence"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -97,7 +123,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members?since=" + rev + "&timeout_ms=" + WAIT_MS);
+                    "/catalog/members" + (moved ? "" : "?since=" + rev + "&timeout_ms=" + WAIT_MS));
             request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(request);
@@ -121,9 +147,15 @@
                 return;
             }
             end();
+            if (moved) {
+                Counters.log("discovery at " + address + " has version " + catalog.rev() + ", known was " + rev);
+            }
+            moved = false;
             rev = catalog.rev();
+            Call next = new Call();
+            current = next;
             long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
-            loop.schedule(() -> new Call().start(), wait, TimeUnit.MILLISECONDS);
+            loop.schedule(next::start, wait, TimeUnit.MILLISECONDS);
             listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
         }
 
@@ -139,16 +171,25 @@
 
         private void end() {
             over = true;
-            silence.cancel(false);
+            if (silence != null) {
+                silence.cancel(false);
+            }
+        }
+
+        /** Ends the call, or keeps it from starting, and tells nobody. */
+        void drop() {
+            end();
+            if (channel != null) {
+                channel.close();
+            }
         }
 
         private void fail(String why) {
             if (over) {
                 return;
             }
-            end();
-            channel.close();
-            watching = false;
+            drop();
+            current = null;
             Counters.log("discovery failed: " + why);
             listener.onList(ListMode.FAILED, List.of());
         }
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -5,7 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 
-/** The real balancer as a program: reads its configuration, serves until SIGTERM, and ends with 0. */
+/** The real balancer as a program: reads its configuration (at SIGHUP again), serves until SIGTERM, ends with 0. */
 public final class Main {
     private Main() {
     }
@@ -13,12 +13,15 @@
     /** Takes no arguments; {@code GW_CONFIG} names the configuration. */
     public static void main(String[] args) {
         try {
-            Config config = Config.read(System.getenv("GW_CONFIG"));
+            Hangup hangup = Hangup.install();
+            String path = System.getenv("GW_CONFIG");
+            Config config = Config.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
             Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
+            hangup.serve(() -> loop.execute(() -> node.reload(path)));
             Counters.log(config.name() + " serves on " + config.listen());
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -63,6 +63,15 @@
         balancer.onList(mode, members);
     }
 
+    /** Reads the configuration again; one that cannot be used changes nothing. */
+    void reload(String path) {
+        try {
+            balancer.reload(Config.read(path));
+        } catch (ConfigException e) {
+            Counters.log("the old configuration stays: " + e.getMessage());
+        }
+    }
+
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -5,14 +5,19 @@
 
 import eiderscale.Api;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The watch on the list of hosts: from the latest version, and on after every failure. */
 class DiscoveryTest {
+    @TempDir
+    Path folder;
     /** What the module was told: the mode and how many hosts. */
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
@@ -114,6 +119,56 @@
         }
     }
 
+    /**
+     * A replaced configuration names another address: the watch moves there at once, asks for the whole list as
+     * versions may not carry over, and the end of the old call is no failure.
+     */
+    @Test
+    void aMovedDiscoveryIsAskedAtOnceAndTheOldCallsEndIsNoFailure() throws Exception {
+        BlockingQueue<String> fresh = new LinkedBlockingQueue<>();
+        FakeHost other = new FakeHost(peer -> {
+            String request = peer.line();
+            for (String line = request; line != null && !line.isEmpty(); ) {
+                line = peer.line();
+            }
+            fresh.add(request);
+            if (request.endsWith("/members HTTP/1.1")) {
+                peer.write(list(3, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            } else {
+                peer.line();
+            }
+        });
+        try (FakeHost discovery = discovery(); other; Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertTrue(next(calls) != null);
+            Path config = Files.writeString(folder.resolve("config.json"), "{\"discovery\":");
+            reload(rig, config);
+            rig.discovery = other.endpoint();
+            Files.writeString(config, rig.config("127.0.0.1:0"));
+            reload(rig, config);
+            reload(rig, config);
+            assertEquals("GET /catalog/members HTTP/1.1", next(fresh));
+            assertEquals("FULL 1", next(told), "not FAILED");
+            assertTrue(next(fresh).startsWith("GET /catalog/members?since=3&timeout_ms="));
+            reload(rig, config);
+            answers.add("");
+            rig.discovery = discovery.endpoint();
+            Files.writeString(config, rig.config("127.0.0.1:0"));
+            answers.add(list(50, true));
+            reload(rig, config);
+            assertEquals("GET /catalog/members HTTP/1.1", next(calls));
+            assertEquals("FULL 0", next(told), "of the two services that of the file");
+            assertEquals(null, fresh.poll(), "signals for an address that has not changed ask nothing");
+        }
+    }
+
+    private static void reload(Rig rig, Path config) throws Exception {
+        rig.loop.submit(() -> rig.node.reload(config.toString())).get();
+    }
+
     /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
     @Test
     void aHostsIdComesFromItsUidAlone() throws Exception {
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -99,11 +99,7 @@
             Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
             Process process = start(config.toString());
             try {
-                BufferedReader log = log(process);
-                String line = log.readLine();
-                while (line != null && !line.contains("serves on")) {
-                    line = log.readLine();
-                }
+                awaitLine(log(process), "serves on");
                 try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
                     assertEquals("MN", client.ask("mn"));
                     assertEquals("HD O2 c77", client.ask(Rig.COPY));
@@ -117,6 +113,46 @@
         }
     }
 
+    /** SIGHUP ends a JVM that has no handler for it, and with it all that was taken. */
+    @Test
+    void theProgramReadsItsConfigurationAgainOnSighup() throws Exception {
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            int port = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
+            Process process = start(config.toString());
+            try {
+                BufferedReader log = log(process);
+                awaitLine(log, "serves on");
+                try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                    Files.writeString(config, "{");
+                    hangUp(process);
+                    awaitLine(log, "the old configuration stays");
+                    rig.discovery = "127.0.0.1:2";
+                    Files.writeString(config, rig.config("127.0.0.1:" + port));
+                    hangUp(process);
+                    hangUp(process);
+                    awaitLine(log, "discovery moves");
+                    assertEquals("HD O2 c77", client.ask(Rig.COPY));
+                    process.destroy();
+                }
+            } finally {
+                assertEquals(0, exit(process));
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void awaitLine(BufferedReader log, String text) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, text);
+    }
+
     @Test
     void withoutConfigurationTheProgramSaysWhyInOneLineAndFails() throws Exception {
         Path broken = Files.writeString(folder.resolve("broken.json"), "{\"listen\":");
