Bound what clients and hosts may hold, and trust no stream behind a fault

Checked: the count of clients stood at its cap of 129 while clients may hold 128 for requests, so each end not yet seen to evicted a good connection, and the eviction ran within the accepts, before the reads of the same turn: a command waiting there was lost. Ruled out: the reload itself (losses began 3 s before the first SIGHUP) and restarts. Lines at fault: Node.RESERVE and CLIENT_PART, ClientServer.channelActive/evict. Now clients get a third and an eighth more, the reserve is 32 (the idle JVM holds 11), and room is made behind the reads, first from those that never spoke or sent faults.

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -5,9 +5,11 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -25,8 +27,6 @@
     private static final long WAYS = 6 * Clock.MILLISECOND;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
-    /** Bytes of values that open requests may hold together; the heap has room for a few times that. */
-    private static final long MOST_HELD = 8L * 1024 * 1024;
 
     /** Makes the decision module, given where its actions go. */
     interface Module {
@@ -43,14 +43,16 @@
     private final HostPool pool;
     private final Discovery discovery;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    /** The ids of requests that are owed an answer. */
+    private final Set<String> openIds = new HashSet<>();
+    private final Budget budget;
     private final Queue<Event> events = new ArrayDeque<>();
     private boolean inModule;
     private long lastId;
-    private int open;
-    private long held;
 
-    Balancer(Config config, EventLoop loop, Counters counters, Module module,
+    Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
              int mostConnections) {
+        this.budget = budget;
         this.site = config.site();
         this.loop = loop;
         this.counters = counters;
@@ -63,22 +65,26 @@
 
     // What comes in.
 
-    /** Takes a request, which is answered exactly once unless its client leaves first. */
-    Exchange take(Command command, Exchange.Client client) {
+    /**
+     * Takes a request, which is answered exactly once unless its client leaves first. Hosts know requests by
+     * their ids alone: a second one under an open id could be served with what was made for the first.
+     */
+    Exchange take(Command command, Exchange.Client client) throws Command.Malformed {
+        if (openIds.contains(command.opaque)) {
+            throw new Command.Malformed("id is in use");
+        }
         long now = Clock.now();
         long deadline = now + command.waitMs * Clock.MILLISECOND - WAYS;
         Exchange exchange = new Exchange(++lastId, command, deadline, client);
         counters.taken++;
-        int bytes = bytes(command);
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open >= site.maxOpen || bytes > 0 && held + bytes > MOST_HELD) {
+        if (open() >= site.maxOpen || !budget.take(bytes(command))) {
             counters.localRefusals++;
             answerRefused(exchange, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
-        open++;
-        held += bytes;
+        openIds.add(command.opaque);
         exchange.lastCall = loop.schedule(() -> lastCall(exchange), deadline + LAST_CALL - now,
                 TimeUnit.NANOSECONDS);
         Api.Request request = new Api.Request(exchange.id, command.requestClass, command.tenant,
@@ -93,9 +99,8 @@
 
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(Exchange exchange) {
-        if (exchange.close()) {
+        if (close(exchange)) {
             counters.clientsGone++;
-            open--;
             post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
         }
     }
@@ -123,11 +128,11 @@
 
     /** The number of requests that are owed an answer. */
     int open() {
-        return open;
+        return openIds.size();
     }
 
     String gauges() {
-        return "open " + open + " ledger " + exchanges.size() + " " + pool.gauges();
+        return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
     }
 
     /** Closes what the pool holds idle for too long; called once in a while. */
@@ -157,7 +162,7 @@
             event.action.run();
         } catch (RuntimeException e) {
             // A fault in the module must not take the other requests with it, nor leave this one open.
-            Counters.log("unexpected exception", e);
+            counters.unexpected("unexpected exception", e);
             if (event.exchange != null) {
                 settle(event.exchange);
             }
@@ -169,7 +174,7 @@
 
     private void forget(Exchange exchange) {
         if (exchange.over && exchange.pending == 0 && exchanges.remove(exchange.id) != null) {
-            held -= bytes(exchange.command);
+            budget.giveBack(bytes(exchange.command));
         }
     }
 
@@ -220,8 +225,7 @@
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
                 counters.served++;
-                open--;
-                exchange.answer(answerLine(exchange.command, answer), answer.data());
+                answer(exchange, answerLine(exchange.command, answer), answer.data());
             }
             float[] report = site.report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
@@ -237,16 +241,31 @@
     }
 
     private void answerRefused(Exchange exchange, long retryAfterMs) {
-        exchange.answer(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n",
-                null);
         counters.refused++;
-        open -= exchanges.containsKey(exchange.id) ? 1 : 0;
+        answer(exchange, retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n",
+                null);
     }
 
     private void answerFailed(Exchange exchange) {
-        exchange.answer("SERVER_ERROR failed\r\n", null);
         counters.failed++;
-        open--;
+        answer(exchange, "SERVER_ERROR failed\r\n", null);
+    }
+
+    private void answer(Exchange exchange, String line, byte[] data) {
+        if (close(exchange)) {
+            exchange.client.answer(line, data);
+        }
+    }
+
+    /** True the first time; a request that found no room was never in the ledger, and its id is its own. */
+    private boolean close(Exchange exchange) {
+        if (!exchange.close()) {
+            return false;
+        }
+        if (exchanges.containsKey(exchange.id)) {
+            openIds.remove(exchange.command.opaque);
+        }
+        return true;
     }
 
     // What the module asks for, carried out in its order.
@@ -255,7 +274,7 @@
     public void send(long request, long server, long cutAt) {
         Exchange exchange = exchanges.get(request);
         if (exchange == null) {
-            Counters.log("send for a request that is over: " + request);
+            counters.noise("send for a request that is over: " + request);
             return;
         }
         long now = Clock.now();
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -22,6 +23,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Clients' connections: reads commands and writes their answers in the order of the commands. */
 final class ClientServer {
@@ -31,6 +33,20 @@
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
     private static final int BACKLOG = 1024;
     private static final int ACCEPTS_AT_ONCE = 256;
+    /** Reads of one connection before the loop turns to the next, lest one that floods starves the others. */
+    private static final int READS_AT_ONCE = 4;
+    private static final int MOST_READ = 16 * 1024;
+    /** A first command, or one that has begun, must be whole within this time. */
+    private static final long COMMAND_NS = 2 * Clock.SECOND;
+    /** A connection on which nothing has been asked for so long is closed; good clients ask far more often. */
+    private static final long IDLE_NS = 20 * Clock.SECOND;
+    /** A client that does not take the answer behind which its connection closes is not waited for longer. */
+    private static final long FAREWELL_NS = 2 * Clock.SECOND;
+    /** No connection that has yet to speak is closed sooner to make room: its command may be on its way. */
+    private static final long YOUNG_NS = 100 * Clock.MILLISECOND;
+    /** After a fault a connection is not read for this long, and after so many faults no more at all. */
+    private static final long PENALTY_MS = 50;
+    private static final int MOST_FAULTS = 8;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Balancer balancer;
@@ -38,16 +54,23 @@
     private final Counters counters;
     private final int mostClients;
     private final int mostSurplus;
+    private final Budget budget;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections with nothing to do, the one that has been so for longest first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Likewise those that never brought a good command, or brought a bad one: the first to make room. */
+    private final Set<Connection> doubtful = new LinkedHashSet<>();
+    /** Those that came while there was no room, and have not been given any yet. */
+    private final Queue<Connection> waiting = new ArrayDeque<>();
     private Channel server;
     private long unread;
     private boolean closing;
 
     /** {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. */
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, int mostClients, int mostSurplus) {
+    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, int mostClients,
+                 int mostSurplus) {
         this.balancer = balancer;
+        this.budget = budget;
         this.loop = loop;
         this.counters = counters;
         this.mostClients = mostClients;
@@ -62,12 +85,15 @@
                 .option(ChannelOption.RCVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ).maxMessagesPerRead(READS_AT_ONCE))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel fresh) {
-                        fresh.pipeline().addLast(MetaDecoder.ofCommands(), new FlowControlHandler(),
-                                new Connection(fresh));
+                        MetaDecoder decoder = MetaDecoder.ofCommands(budget);
+                        fresh.pipeline().addLast(decoder, new FlowControlHandler(),
+                                new Connection(fresh, decoder));
                     }
                 }).bind(address);
         server = bound.channel();
@@ -87,6 +113,44 @@
         return connections.size();
     }
 
+    /**
+     * Closes those that say nothing, stop halfway or have been idle for long: each holds a descriptor and memory
+     * that others need. To be called a few times a second.
+     */
+    void sweep() {
+        long now = Clock.now();
+        for (Connection connection : List.copyOf(connections)) {
+            connection.checkTime(now);
+        }
+    }
+
+    /**
+     * Finds room for those that came without any. It runs behind the reads of the same turn of the loop: a
+     * connection whose command was waiting to be read is not idle any more, and would be lost by a close.
+     */
+    private void makeRoom() {
+        for (Connection late = waiting.poll(); late != null; late = waiting.poll()) {
+            if (connections.contains(late) && connections.size() > mostClients && !evict(doubtful, YOUNG_NS)
+                    && !evict(idle, 0)) {
+                late.surplus = true;
+            }
+        }
+    }
+
+    private boolean evict(Set<Connection> from, long leastNs) {
+        Iterator<Connection> longest = from.iterator();
+        if (!longest.hasNext()) {
+            return false;
+        }
+        Connection evicted = longest.next();
+        if (Clock.now() - evicted.since < leastNs) {
+            return false;
+        }
+        counters.evicted++;
+        evicted.end();
+        return true;
+    }
+
     /** The place of one command in the order of answers. */
     private final class Slot implements Exchange.Client {
         private final Connection connection;
@@ -109,42 +173,81 @@
 
     private final class Connection extends SimpleChannelInboundHandler<MetaFrame> {
         private final Channel channel;
+        private final MetaDecoder decoder;
         private final Queue<Slot> slots = new ArrayDeque<>();
+        /** When it came, fell idle or began to quit. */
+        private long since = Clock.now();
+        /** When the command that is still coming in began; 0 if there is none. */
+        private long halfSince;
+        private boolean spoke;
+        private int faults;
+        private long pausedUntil;
         /** There was no room for it: all it gets is a refusal. */
         private boolean surplus;
         private boolean quitting;
+        /** The last answer is on its way and the close behind it. */
+        private boolean leaving;
         private boolean gone;
         private boolean reading;
 
-        Connection(Channel channel) {
+        Connection(Channel channel, MetaDecoder decoder) {
             this.channel = channel;
+            this.decoder = decoder;
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             if (connections.size() >= mostClients + mostSurplus) {
+                counters.turnedAway++;
                 gone = true;
                 ctx.close();
                 return;
             }
-            if (connections.size() >= mostClients && !evict()) {
-                surplus = true;
-            }
             connections.add(this);
-            idle.add(this);
+            doubtful.add(this);
+            if (connections.size() > mostClients) {
+                waiting.add(this);
+                if (waiting.size() == 1) {
+                    loop.execute(ClientServer.this::makeRoom);
+                }
+            }
+        }
+
+        private void beIdle() {
+            // Asked again while it is idle, it keeps its place in the line.
+            if ((spoke && faults == 0 ? idle : doubtful).add(this)) {
+                since = Clock.now();
+            }
+        }
+
+        private void beBusy() {
+            idle.remove(this);
+            doubtful.remove(this);
+            halfSince = 0;
+        }
+
+        /** Counted out now, as the channel reports its end only later: a burst would evict but one. */
+        private void end() {
+            beBusy();
+            connections.remove(this);
+            channel.close();
         }
 
-        private boolean evict() {
-            Iterator<Connection> longest = idle.iterator();
-            if (!longest.hasNext()) {
-                return false;
+        void checkTime(long now) {
+            if (leaving) {
+                if (now - since > FAREWELL_NS) {
+                    channel.close();
+                }
+            } else if (slots.isEmpty()) {
+                boolean late = !spoke && now - since > COMMAND_NS || halfSince != 0 && now - halfSince > COMMAND_NS;
+                if (late) {
+                    counters.timedOut++;
+                    end();
+                } else if (now - since > IDLE_NS) {
+                    counters.retired++;
+                    end();
+                }
             }
-            Connection evicted = longest.next();
-            // Counted out now, as the channel reports its end only later: a burst would evict but one.
-            longest.remove();
-            connections.remove(evicted);
-            evicted.channel.close();
-            return true;
         }
 
         @Override
@@ -152,13 +255,12 @@
             if (quitting) {
                 return;
             }
-            idle.remove(this);
+            beBusy();
             reading = true;
             Slot slot = new Slot(this);
             slots.add(slot);
             if (frame.fault() != null) {
-                counters.malformed++;
-                slot.answer(frame.fault() + "\r\n", null);
+                fault(slot, frame.fault(), frame.last());
             } else {
                 take(slot, frame);
             }
@@ -166,18 +268,41 @@
             flushReady();
         }
 
+        /** How long half a command has been here, seen once all that came has been read. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (!slots.isEmpty() || decoder.isClean()) {
+                halfSince = 0;
+            } else if (halfSince == 0) {
+                halfSince = Clock.now();
+            }
+        }
+
+        /**
+         * Answers what cannot be served. Nothing behind a fault of framing is read; behind any other one reading
+         * rests, so that a client which sends the same again at once takes no time from the others.
+         */
+        private void fault(Slot slot, String answer, boolean last) {
+            counters.malformed++;
+            faults++;
+            quitting = last || faults >= MOST_FAULTS;
+            pausedUntil = Clock.now() + PENALTY_MS * Clock.MILLISECOND;
+            loop.schedule(this::adjust, PENALTY_MS, TimeUnit.MILLISECONDS);
+            slot.answer(answer + "\r\n", null);
+        }
+
         private void take(Slot slot, MetaFrame frame) {
             switch (frame.words().get(0)) {
                 case "mg", "ms" -> request(slot, frame);
-                case "mn" -> slot.answer("MN\r\n", null);
+                case "mn" -> {
+                    spoke = true;
+                    slot.answer("MN\r\n", null);
+                }
                 case "quit" -> {
                     slots.remove(slot);
                     quitting = true;
                 }
-                default -> {
-                    counters.malformed++;
-                    slot.answer("ERROR\r\n", null);
-                }
+                default -> fault(slot, "ERROR", false);
             }
         }
 
@@ -191,9 +316,9 @@
             try {
                 Command command = new Command(frame, balancer.site());
                 slot.exchange = balancer.take(command, slot);
+                spoke = true;
             } catch (Command.Malformed e) {
-                counters.malformed++;
-                slot.answer(e.getMessage() + "\r\n", null);
+                fault(slot, e.getMessage(), false);
             }
         }
 
@@ -217,9 +342,14 @@
 
         /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
         void adjust() {
+            if (gone || leaving) {
+                return;
+            }
             if (slots.isEmpty() && (closing || quitting)) {
                 // Behind what is still being written: a close at once would cut a long answer short.
+                leaving = true;
                 quitting = true;
+                since = Clock.now();
                 channel.config().setAutoRead(false);
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             } else if (unread > MOST_UNREAD && !channel.isWritable()) {
@@ -227,9 +357,10 @@
                 channel.close();
             } else {
                 if (slots.isEmpty()) {
-                    idle.add(this);
+                    beIdle();
                 }
-                channel.config().setAutoRead(slots.size() < MOST_PIPELINED && channel.isWritable());
+                channel.config().setAutoRead(!quitting && slots.size() < MOST_PIPELINED && channel.isWritable()
+                        && Clock.now() >= pausedUntil);
             }
         }
 
@@ -242,7 +373,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             gone = true;
             connections.remove(this);
-            idle.remove(this);
+            beBusy();
             for (Slot slot : slots) {
                 if (slot.answer != null) {
                     unread -= slot.answer.readableBytes();
@@ -257,7 +388,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof java.io.IOException)) {
-                Counters.log("on a client's connection", cause);
+                counters.unexpected("on a client's connection", cause);
             }
             ctx.close();
         }
--- a/src/main/java/eiderscale/net/Command.java
+++ b/src/main/java/eiderscale/net/Command.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.Api;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -11,8 +12,8 @@
     private static final int MOST_KEY = 250;
     private static final int MOST_OPAQUE = 32;
     private static final int HEX_KEY = 16;
-    /** A longer wait is cut to this: no client means it, and sums with it must not overflow. */
-    private static final long MOST_WAIT_MS = 3_600_000;
+    /** A longer guess at the work is cut to this, in microseconds: no client means it. */
+    private static final long MOST_WORK = 3_600_000_000L;
 
     /** A command that cannot be taken; the message is the answer. */
     static final class Malformed extends Exception {
@@ -48,11 +49,15 @@
         String list = null;
         boolean wantsValue = false;
         for (String word : frame.words().subList(flags, frame.words().size())) {
-            switch (word.charAt(0)) {
-                case 'O' -> id = word.substring(1);
-                case 'P' -> list = word.substring(1);
-                case 'v' -> wantsValue = true;
-                default -> throw new Malformed("unknown flag");
+            // Said twice, a flag could be passed on in a form that no client sent: it counts as unknown.
+            if (word.charAt(0) == 'O' && id == null) {
+                id = word.substring(1);
+            } else if (word.charAt(0) == 'P' && list == null) {
+                list = word.substring(1);
+            } else if (word.equals("v") && !wantsValue) {
+                wantsValue = true;
+            } else {
+                throw new Malformed("unknown flag");
             }
         }
         if (id == null || id.isEmpty() || id.length() > MOST_OPAQUE) {
@@ -62,17 +67,27 @@
             throw new Malformed(write ? "ms takes no v" : "mg needs v");
         }
         opaque = id;
-        figures = list == null ? new String[0] : list.split(",");
+        figures = list == null ? new String[0] : list.split(",", -1);
         requestClass = number(site.requestClass(figure("c")), "class");
         tenant = number(site.tenant(figure("t")), "tenant");
-        waitMs = Math.min(MOST_WAIT_MS, whole("d", -1));
+        Api.RequestClass c = site.settings.classes().get(requestClass);
+        // No client of this class waits longer: an hour asked for would hold its place for an hour.
+        waitMs = Math.min(c.deadline() / Clock.MILLISECOND, whole("d", -1));
         if (waitMs < 0) {
             throw new Malformed("missing d");
         }
+        if (c.effect() == Api.Effect.DEDUP && figure("k") == null) {
+            // Without it hosts cannot tell a repeat.
+            throw new Malformed("missing k");
+        }
         repeat = "1".equals(figure("r"));
-        work = Math.min(MOST_WAIT_MS * 1000, whole("h", 0)) * 1000;
-        for (int i = figures.length - 1; i >= 0; i--) {
-            waitAt = figures[i].startsWith("d=") ? i : waitAt;
+        work = Math.min(MOST_WORK, whole("h", 0)) * 1000;
+        for (int i = 0; i < figures.length; i++) {
+            String name = figures[i].substring(0, figures[i].indexOf('=') + 1);
+            if (name.isEmpty() || Arrays.stream(figures, 0, i).anyMatch(f -> f.startsWith(name))) {
+                throw new Malformed("bad list of figures");
+            }
+            waitAt = name.equals("d=") ? i : waitAt;
         }
     }
 
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -6,6 +6,10 @@
 /** Sparse counts on standard error, to find causes by: how requests and attempts end, and how late we run. */
 final class Counters {
     private static final String PREFIX = "stairshelf: ";
+    /** Lines that peers may cause between two prints, and the length of one. */
+    private static final int MOST_NOISES = 20;
+    private static final int MOST_NOISE = 200;
+    private static final int MOST_FRAMES = 6;
     private final long[] outcomes = new long[Reason.values().length];
     long taken;
     long served;
@@ -16,9 +20,15 @@
     long lastCalls;
     long connects;
     long localRefusals;
+    /** Clients' connections closed for room, for silence or halves, for long idling, and for want of any room. */
+    long evicted;
+    long timedOut;
+    long retired;
+    long turnedAway;
     private long timers;
     private long lateTimers;
     private long latest;
+    private long noises;
 
     void outcome(Reason reason) {
         outcomes[reason.ordinal()]++;
@@ -34,28 +44,40 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d refused %d failed %d gone %d malformed %d last-calls %d | connects %d"
-                + " local-refusals %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
-                clientsGone, malformed, lastCalls, connects, localRefusals, timers, lateTimers, latest / 1e6));
+                + " local-refusals %d | evicted %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
+                clientsGone, malformed, lastCalls, connects, localRefusals, evicted,
+                timedOut, retired, turnedAway, timers, lateTimers, latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
                 line.append(' ').append(reason).append(' ').append(outcomes[reason.ordinal()]);
             }
         }
+        if (noises > MOST_NOISES) {
+            line.append(" | not logged ").append(noises - MOST_NOISES);
+        }
+        noises = 0;
         latest = 0;
         log(line.append(" | ").append(gauges).toString());
     }
 
+    /** What a peer can cause as often as it likes: told in part, so that it cannot fill the log. */
+    void noise(String line) {
+        noises++;
+        if (noises <= MOST_NOISES) {
+            log(line.length() > MOST_NOISE ? line.substring(0, MOST_NOISE) + "..." : line);
+        }
+    }
+
     static void log(String line) {
         System.err.println(PREFIX + line);
     }
 
     /** An exception that nobody expected: the place where it arose is what finds its cause. */
-    static void log(String what, Throwable cause) {
-        StringBuilder line = new StringBuilder(what).append(": ").append(cause);
+    void unexpected(String what, Throwable cause) {
+        noise(what + ": " + cause);
         StackTraceElement[] trace = cause.getStackTrace();
-        for (int i = 0; i < Math.min(6, trace.length); i++) {
-            line.append(" <- ").append(trace[i]);
+        for (int i = 0; i < Math.min(MOST_FRAMES, trace.length); i++) {
+            noise("  at " + trace[i]);
         }
-        log(line.toString());
     }
 }
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -16,7 +16,7 @@
     /** The latest moment for a final answer, on this program's clock. */
     final long deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
-    private final Client client;
+    final Client client;
     int pending;
     /** Answered, or the client is gone: nothing is owed and nothing new goes out. */
     boolean over;
@@ -40,10 +40,4 @@
         }
         return first;
     }
-
-    void answer(String line, byte[] data) {
-        if (close()) {
-            client.answer(line, data);
-        }
-    }
 }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -57,6 +57,8 @@
     private final Map<Long, Host> hosts = new HashMap<>();
     /** All idle connections, the coldest first. */
     private final Set<Link> idle = new LinkedHashSet<>();
+    /** Each connection holds one value at most, so their number bounds this. */
+    private final Budget budget = new Budget(Long.MAX_VALUE);
     private int links;
 
     HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
@@ -181,11 +183,14 @@
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
     final class Link extends SimpleChannelInboundHandler<MetaFrame> {
         private final Host host;
+        private final MetaDecoder decoder = MetaDecoder.ofAnswers(budget);
         private Channel channel;
         private Attempt attempt;
         /** The write of the present attempt; done when its last byte has left. */
         private ChannelFuture sent;
         private long idleSince;
+        /** Its answer has come and the read that brought it is not over. */
+        private boolean answered;
         private boolean counted;
 
         private Link(Host host) {
@@ -201,7 +206,7 @@
             ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
-                    fresh.pipeline().addLast(MetaDecoder.ofAnswers(), Link.this);
+                    fresh.pipeline().addLast(decoder, Link.this);
                 }
             }).connect(host.endpoint);
             channel = up.channel();
@@ -259,12 +264,30 @@
             Reason reason = judge(attempt.exchange.command, answer);
             boolean garbage = reason == null;
             if (garbage) {
-                Counters.log("a cache host broke the protocol: "
+                counters.noise("a cache host broke the protocol: "
                         + (answer.fault() != null ? answer.fault() : answer.words()));
             }
             finish(garbage ? Reason.ERROR : reason, answer, garbage || !written());
         }
 
+        /**
+         * A connection is free only once all that came has been read and nothing came behind the answer: noise
+         * there, whole or in part, would be taken for the answer to the next request. Likewise any byte on an
+         * idle connection ends it.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (attempt != null) {
+                return;
+            }
+            if (!decoder.isClean()) {
+                retire();
+            } else if (answered) {
+                answered = false;
+                goIdle();
+            }
+        }
+
         /** What an answer means; null for what the protocol does not allow. */
         private static Reason judge(Command command, MetaFrame answer) {
             if (answer.fault() != null) {
@@ -283,10 +306,9 @@
             Attempt ended = attempt;
             release();
             sent = null;
+            answered = !close;
             if (close) {
                 channel.close();
-            } else {
-                goIdle();
             }
             listener.onAnswer(ended, reason, answer);
         }
@@ -307,6 +329,7 @@
         }
 
         private void retire() {
+            answered = false;
             leaveIdle();
             uncount();
             channel.close();
@@ -329,7 +352,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof java.io.IOException)) {
-                Counters.log("on a connection to a cache host", cause);
+                counters.unexpected("on a connection to a cache host", cause);
             }
             ctx.close();
         }
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/net/MetaDecoder.java
@@ -5,81 +5,96 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 
 /**
- * Cuts a byte stream into {@link MetaFrame}s, strictly and within bounds: an overlong line or value is
- * passed over as it comes in, never gathered, and the stream goes on behind it.
+ * Cuts a byte stream into {@link MetaFrame}s, strictly and within bounds. A fault in the framing itself (an
+ * overlong line, a length that cannot be, a data block without its end) is the last frame of a stream: parsing
+ * on would take somebody's data for commands or answers.
  */
 final class MetaDecoder extends ByteToMessageDecoder {
     /** Far above the longest honest line: a key of 250 bytes, an id and a list of figures. */
     static final int MOST_LINE = 2048;
     private static final int MOST_DIGITS = 9;
     private static final int CRLF = 2;
+    /** A value's buffer begins this small and grows with what arrives. */
+    private static final int FIRST_BYTES = 1024;
     private static final String BAD_CHUNK = "CLIENT_ERROR bad data chunk";
+    /** Commands of the classic protocol that bring data: they are not served, and their data are no commands. */
+    private static final Set<String> CLASSIC_DATA = Set.of("set", "add", "replace", "append", "prepend", "cas");
 
     private final String dataWord;
     private final int lengthAt;
+    private final Budget budget;
+    /** The line whose data block is coming in, null between frames. */
     private List<String> words;
     private byte[] data;
+    private int length;
     private int filled;
-    /** Bytes of an overlong value still to be passed over, and whether the rest of a line is. */
-    private long skip;
-    private boolean skipLine;
+    private boolean broken;
 
-    private MetaDecoder(String dataWord, int lengthAt) {
+    private MetaDecoder(String dataWord, int lengthAt, Budget budget) {
         this.dataWord = dataWord;
         this.lengthAt = lengthAt;
+        this.budget = budget;
     }
 
     /** Reads what clients send: {@code ms} brings data. */
-    static MetaDecoder ofCommands() {
-        return new MetaDecoder("ms", 2);
+    static MetaDecoder ofCommands(Budget budget) {
+        return new MetaDecoder("ms", 2, budget);
     }
 
     /** Reads what cache hosts answer: {@code VA} brings data. */
-    static MetaDecoder ofAnswers() {
-        return new MetaDecoder("VA", 1);
+    static MetaDecoder ofAnswers(Budget budget) {
+        return new MetaDecoder("VA", 1, budget);
+    }
+
+    /** Whether the stream stands right between two frames, with not a byte of the next one here. */
+    boolean isClean() {
+        return !broken && words == null && actualReadableBytes() == 0;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        if (skip > 0) {
-            int passed = (int) Math.min(skip, in.readableBytes());
-            in.skipBytes(passed);
-            skip -= passed;
-        } else if (data != null) {
+        if (broken) {
+            in.skipBytes(in.readableBytes());
+        } else if (words != null) {
             readData(in, out);
         } else {
             readLine(in, out);
         }
     }
 
+    private void breakOff(String answer, ByteBuf in, List<Object> out) {
+        broken = true;
+        in.skipBytes(in.readableBytes());
+        dropData();
+        out.add(MetaFrame.fault(answer, true));
+    }
+
     private void readLine(ByteBuf in, List<Object> out) {
-        int length = in.bytesBefore((byte) '\n');
-        if (skipLine || length > MOST_LINE || length < 0 && in.readableBytes() > MOST_LINE) {
-            if (!skipLine) {
-                out.add(MetaFrame.fault("CLIENT_ERROR line too long"));
-            }
-            skipLine = length < 0;
-            in.skipBytes(length < 0 ? in.readableBytes() : length + 1);
+        int end = in.bytesBefore((byte) '\n');
+        if (end > MOST_LINE || end < 0 && in.readableBytes() > MOST_LINE) {
+            breakOff("CLIENT_ERROR line too long", in, out);
             return;
         }
-        if (length < 0) {
+        if (end < 0) {
             return;
         }
-        String line = in.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
+        String line = in.readCharSequence(end, StandardCharsets.ISO_8859_1).toString();
         in.skipBytes(1);
         if (!line.endsWith("\r")) {
-            out.add(MetaFrame.fault("CLIENT_ERROR lines end in CRLF"));
+            breakOff("CLIENT_ERROR lines end in CRLF", in, out);
         } else {
-            take(line.substring(0, length - 1), out);
+            take(line.substring(0, end - 1), in, out);
         }
     }
 
-    private void take(String line, List<Object> out) {
+    private void take(String line, ByteBuf in, List<Object> out) {
         if (line.chars().anyMatch(c -> c < ' ' || c == 0x7f)) {
-            out.add(MetaFrame.fault("CLIENT_ERROR control character in line"));
+            breakOff("CLIENT_ERROR control character in line", in, out);
             return;
         }
         List<String> tokens = new ArrayList<>();
@@ -89,46 +104,68 @@
             }
         }
         if (tokens.isEmpty()) {
-            out.add(MetaFrame.fault("ERROR"));
+            out.add(MetaFrame.fault("ERROR", false));
+        } else if (CLASSIC_DATA.contains(tokens.get(0))) {
+            breakOff("ERROR", in, out);
         } else if (!tokens.get(0).equals(dataWord)) {
-            out.add(new MetaFrame(tokens, null, null));
+            out.add(MetaFrame.of(tokens, null));
         } else {
-            startData(tokens, out);
+            startData(tokens, in, out);
         }
     }
 
-    private void startData(List<String> tokens, List<Object> out) {
+    private void startData(List<String> tokens, ByteBuf in, List<Object> out) {
         String text = tokens.size() > lengthAt ? tokens.get(lengthAt) : "";
-        if (text.isEmpty() || text.length() > MOST_DIGITS || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
-            out.add(MetaFrame.fault(BAD_CHUNK));
-            return;
-        }
-        int length = Integer.parseInt(text);
-        if (length > MetaFrame.MOST_VALUE) {
-            skip = (long) length + CRLF;
-            out.add(MetaFrame.fault("CLIENT_ERROR value too large"));
-            return;
+        if (text.isEmpty() || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            breakOff(BAD_CHUNK, in, out);
+        } else if (text.length() > MOST_DIGITS || Integer.parseInt(text) > MetaFrame.MOST_VALUE) {
+            breakOff("CLIENT_ERROR value too large", in, out);
+        } else {
+            words = tokens;
+            length = Integer.parseInt(text);
+            data = new byte[0];
+            filled = 0;
         }
-        words = tokens;
-        data = new byte[length];
-        filled = 0;
     }
 
     private void readData(ByteBuf in, List<Object> out) {
-        int some = Math.min(data.length - filled, in.readableBytes());
+        int some = Math.min(length - filled, in.readableBytes());
+        if (filled + some > data.length && !grow(filled + some)) {
+            breakOff("SERVER_ERROR out of memory", in, out);
+            return;
+        }
         in.readBytes(data, filled, some);
         filled += some;
-        if (filled < data.length || in.readableBytes() < CRLF) {
+        if (filled < length || in.readableBytes() < CRLF) {
             return;
         }
-        byte[] whole = data;
-        data = null;
-        if (in.getByte(in.readerIndex()) == '\r' && in.getByte(in.readerIndex() + 1) == '\n') {
-            in.skipBytes(CRLF);
-            out.add(new MetaFrame(words, whole, null));
-        } else {
-            out.add(MetaFrame.fault(BAD_CHUNK));
-            skipLine = true;
+        if (in.readByte() != '\r' || in.readByte() != '\n') {
+            breakOff(BAD_CHUNK, in, out);
+            return;
+        }
+        out.add(MetaFrame.of(words, data.length == length ? data : Arrays.copyOf(data, length)));
+        dropData();
+    }
+
+    private boolean grow(int least) {
+        int size = Math.min(length, Math.max(least, Math.max(FIRST_BYTES, 2 * data.length)));
+        if (!budget.take(size - data.length)) {
+            return false;
         }
+        data = Arrays.copyOf(data, size);
+        return true;
+    }
+
+    private void dropData() {
+        if (words != null) {
+            budget.giveBack(data.length);
+            words = null;
+            data = null;
+        }
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+        dropData();
     }
 }
--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/src/main/java/eiderscale/net/MetaFrame.java
@@ -4,14 +4,19 @@
 
 /**
  * One line of the meta protocol with its data block, in either direction. Where {@code fault} is set the
- * line broke the protocol and {@code fault} is what its sender should be told.
+ * line broke the protocol and {@code fault} is what its sender should be told. Behind a {@code last} frame
+ * nobody knows where the next line begins: nothing that follows may be read as one.
  */
-record MetaFrame(List<String> words, byte[] data, String fault) {
+record MetaFrame(List<String> words, byte[] data, String fault, boolean last) {
     /** Values may hold so many bytes. */
     static final int MOST_VALUE = 64 * 1024;
 
-    static MetaFrame fault(String answer) {
-        return new MetaFrame(List.of(), null, answer);
+    static MetaFrame of(List<String> words, byte[] data) {
+        return new MetaFrame(words, data, null, false);
+    }
+
+    static MetaFrame fault(String answer, boolean last) {
+        return new MetaFrame(List.of(), null, answer, last);
     }
 
     boolean is(int at, String word) {
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -13,16 +13,26 @@
     /** After a stop is asked for, clients go on coming for a while; they are served. */
     private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
-    private static final long SWEEP_MS = 1_000;
-    private static final int SWEEPS_PER_PRINT = 10;
-    /** Descriptors kept for the JVM itself, discovery and the listening socket. */
-    private static final int RESERVE = 96;
-    private static final double CLIENT_PART = 0.45;
-    private static final int SURPLUS = 16;
+    private static final long SWEEP_MS = 250;
+    private static final int SWEEPS_PER_PRINT = 40;
+    /** Descriptors kept for the JVM itself (11 when idle), discovery and the listening socket. */
+    private static final int RESERVE = 32;
+    /**
+     * Clients hold a third of the descriptors at most for requests. At just that many, each connection that
+     * has closed and was not seen to yet costs a good one its place, so there are some more for these, for those
+     * that only say nothing, and for those that are kept just to be refused.
+     */
+    private static final int REQUESTS_PART = 3;
+    private static final int FURTHER_PART = 8;
+    private static final int SURPLUS_PART = 16;
+    private static final int MOST_SURPLUS = 16;
+    /** Bytes of values that may be held together; the heap has room for a few times that. */
+    private static final long MOST_HELD = 8L * 1024 * 1024;
 
     private final Config config;
     private final EventLoop loop;
     private final Counters counters = new Counters();
+    private final Budget budget = new Budget(MOST_HELD);
     private final Balancer balancer;
     private final ClientServer server;
     private int sweeps;
@@ -31,10 +41,12 @@
     Node(Config config, EventLoop loop, Balancer.Module module) {
         this.config = config;
         this.loop = loop;
-        int room = config.sockets() - Math.min(RESERVE, config.sockets() / 4);
-        int clients = Math.max(1, (int) (room * CLIENT_PART));
-        balancer = new Balancer(config, loop, counters, module, Math.max(1, room - clients - SURPLUS));
-        server = new ClientServer(balancer, loop, counters, clients, SURPLUS);
+        int all = config.sockets();
+        int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
+        int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
+        int links = Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus);
+        balancer = new Balancer(config, loop, counters, module, budget, links);
+        server = new ClientServer(balancer, loop, counters, budget, clients, surplus);
     }
 
     /** Begins to listen: from then on it is ready to serve. */
@@ -45,6 +57,7 @@
 
     private void sweep() {
         balancer.sweep();
+        server.sweep();
         if (++sweeps % SWEEPS_PER_PRINT == 0) {
             print();
         }
@@ -55,7 +68,7 @@
     }
 
     String gauges() {
-        return "clients " + server.clients() + " " + balancer.gauges();
+        return "clients " + server.clients() + " held " + budget.held() + " " + balancer.gauges();
     }
 
     /** A list of hosts from elsewhere than discovery. */
--- a/src/main/java/eiderscale/net/Site.java
+++ b/src/main/java/eiderscale/net/Site.java
@@ -129,6 +129,9 @@
             try {
                 if (at != null) {
                     report[at] = Float.parseFloat(part.substring(equals + 1));
+                    if (!Float.isFinite(report[at])) {
+                        return NO_REPORT;
+                    }
                     found++;
                 }
             } catch (NumberFormatException e) {
