Breakers count reads saved by copies; idle hosts' rejections shed nothing

A trace of every attempt: four of eight hosts turned away 45 to 60% there, after a steady 25 ms, with reported busy 0.17 to 0.27; the other four stood at half of what they served before. Ruled out: full queues (busy is low, few in flight), connections (96 at once), descriptors (137 of 384), the balancer's CPU (0.4). Lines at fault: Router.learn takes each rejection for a sign of load, three times a quick answer, so admission sheds for the whole fleet; their retries then run out of the budget of a fifth. Now a rejection by a host that reports under half busy is no sign of load, counts as a failure of that host and takes nothing from the module's own budget (a stated budget is kept).

Found by reading beside it, shown by a test: an attempt that its copy overtook told the breaker nothing, so reads on a silent host never opened it, and a trial that was overtaken let all reads in again. It counts as failed.

The trace also showed connections idle for over 100 ms reset at 40%, younger ones at 8%: open.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -173,11 +173,18 @@
         host.trial |= host.openUntil != 0;
     }
 
-    void onEnd(long now, Host host, Reason reason, long took) {
+    /**
+     * An attempt ended. {@code suspect}: it was overtaken by its copy, or turned away by a host that has time
+     * to spare, which counts as failed. Guards against a silent host, all of whose reads are saved by copies,
+     * so that none ever times out and it is tried again with every read.
+     */
+    void onEnd(long now, Host host, Reason reason, long took, boolean suspect) {
         host.inFlight--;
-        boolean failed = reason == Reason.ERROR || reason == Reason.RESET || reason == Reason.TIMEOUT;
+        boolean slow = suspect && reason == Reason.CANCELLED;
+        boolean failed = suspect || reason == Reason.ERROR || reason == Reason.RESET
+                || reason == Reason.TIMEOUT;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
-        if (reason.answered() || reason == Reason.TIMEOUT) {
+        if (reason.answered() || reason == Reason.TIMEOUT || slow && took > host.latency) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
         }
         if (isOrigin(host)) {
@@ -186,7 +193,7 @@
         if (reason.answered() || failed) {
             failing += FAILING_WEIGHT * ((failed ? 1 : 0) - failing);
         }
-        if (reason.answered() || reason == Reason.REJECTED) {
+        if (reason.answered() || reason == Reason.REJECTED && !suspect) {
             close(host);
         } else if (reason == Reason.CONNECT_FAILED) {
             strike(now, host, OPEN_AT / 2);
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -15,6 +15,8 @@
     private static final double SUBSCRIBE_SPREAD = 0.5;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
+    /** A host less busy than this that turns work away does so for another cause than load. */
+    private static final double IDLE = 0.5;
     /** Safety taken off the window within which servers drop repeats. */
     private static final double WINDOW_SAFETY = 0.9;
 
@@ -24,6 +26,8 @@
         final long sentAt;
         boolean pending = true;
         boolean neverRan;
+        /** A copy sent later was answered first. */
+        boolean overtaken;
 
         Attempt(Host host, long sentAt) {
             this.host = host;
@@ -318,8 +322,10 @@
         if (flight.ordered() && outcome.reason().mayRunOn()) {
             order.rest(now, flight.request.key());
         }
-        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt);
-        learn(now, flight, attempt, outcome.reason());
+        boolean broken = outcome.reason() == Reason.REJECTED && isIdle(outcome.report());
+        boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
+        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt, suspect);
+        learn(now, flight, attempt, outcome.reason(), broken);
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
         }
@@ -329,22 +335,35 @@
             if (outcome.reason() == Reason.OK && !flight.request.write() && !health.isOrigin(attempt.host)) {
                 hedging.served(now, now - flight.attempts[0].sentAt);
             }
+            for (int i = 0; i < outcome.attempt(); i++) {
+                flight.attempts[i].overtaken = flight.attempts[i].pending;
+            }
             cancelPending(flight, outcome.attempt());
             end(now, flight);
         } else {
-            goOn(now, flight, outcome.reason());
+            goOn(now, flight, outcome.reason(), broken);
         }
     }
 
-    private void learn(long now, Flight flight, Attempt attempt, Reason reason) {
+    /**
+     * Whether a host says that it has time to spare. Guards against a few hosts that turn work away for
+     * reasons of their own: taken for a sign of load, that has most requests shed while others stand idle.
+     */
+    private boolean isIdle(float[] report) {
+        int busy = settings.report().busy();
+        return busy >= 0 && busy < report.length && report[busy] < IDLE;
+    }
+
+    private void learn(long now, Flight flight, Attempt attempt, Reason reason, boolean broken) {
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(now - attempt.sentAt);
         }
         boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
-        if (!health.isOrigin(attempt.host) && (reason == Reason.REJECTED || quick && reason.answered())) {
+        boolean full = reason == Reason.REJECTED && !broken;
+        if (!health.isOrigin(attempt.host) && (full || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
-            double full = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
-            admission.load(now, reason.answered() ? 1 : full);
+            double sign = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
+            admission.load(now, reason.answered() ? 1 : sign);
         }
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
@@ -356,7 +375,7 @@
     }
 
     /** An attempt ended without an answer: wait for another one, try again, or give the final answer. */
-    private void goOn(long now, Flight flight, Reason reason) {
+    private void goOn(long now, Flight flight, Reason reason, boolean broken) {
         flight.missed |= reason == Reason.MISS;
         if (flight.pending > 0) {
             return;
@@ -364,7 +383,7 @@
         if (now < flight.usefulUntil && flight.sent < mostAttempts && reason != Reason.MOOT) {
             Host host = next(now, flight, reason);
             if (host != null && maySend(now, flight, host)
-                    && (reason == Reason.MISS || hedging.spend(now))) {
+                    && (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now))) {
                 send(now, flight, host);
                 return;
             }
--- a/src/test/java/eiderscale/FailuresFoundTest.java
+++ b/src/test/java/eiderscale/FailuresFoundTest.java
@@ -22,6 +22,60 @@
         return new Bed(new Bed.SettingsBuilder());
     }
 
+    /**
+     * Reads on a host that is cut off are all saved by their copies, so none times out: the breaker once stayed
+     * closed for good, and each trial ended without a verdict and let every read in again.
+     */
+    @Test
+    void aHostWhoseReadsAreAllOvertakenIsLeftAlone() {
+        Bed bed = new Bed(new Bed.SettingsBuilder()).servers(4);
+        bed.warmDigest(64);
+        bed.pass(6_000); // the copies of these have used up their budget
+        long dead = bed.request(1, Bed.READ, 5).server();
+        bed.outcome(1, 0, Reason.OK);
+        long id = 2;
+        while (id < 20 && overtaken(bed, id) == dead) {
+            id++;
+        }
+        assertTrue(id < 12, "opened after nine failures");
+        bed.pass(6_000);
+        assertEquals(dead, overtaken(bed, ++id), "a trial");
+        assertNotEquals(dead, overtaken(bed, ++id), "that failed");
+    }
+
+    /** A read whose first attempt is silent and whose copy is served; returns where the first one went. */
+    private static long overtaken(Bed bed, long id) {
+        Bed.Sent first = bed.request(id, Bed.READ, 5);
+        bed.pass(20);
+        bed.outcome(id, 1, Reason.OK);
+        assertTrue(bed.cancels.contains(id + "/0"));
+        bed.outcome(id, 0, Reason.CANCELLED);
+        return first.server();
+    }
+
+    /**
+     * A few hosts that turned work away though they had time to spare had most requests shed, also those for the
+     * hosts that stood idle: what an idle host says of work tells nothing of the fleet's load.
+     */
+    @Test
+    void rejectionsByIdleHostsShedNothing() {
+        for (float busy : new float[] {0.2f, 0.9f}) {
+            Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+            builder.report = new Api.ReportLayout(-1, -1, 0);
+            Bed bed = new Bed(builder).servers(8);
+            int sent = 0;
+            for (long id = 1; id <= 400; id++) {
+                sent += bed.request(id, Bed.READ, id) != null ? 1 : 0;
+                bed.pass(5);
+                for (int attempt = 0; attempt < bed.settings.maxAttempts(); attempt++) {
+                    bed.router.onOutcome(bed.now, new Api.Outcome(id, attempt, Reason.REJECTED, 0, false,
+                            new float[] {busy}));
+                }
+            }
+            assertEquals(busy < 0.5f, sent == 400, "busy " + busy + " sent " + sent);
+        }
+    }
+
     /** A key with a large share of the traffic filled its two hosts while the rest stood idle. */
     @Test
     void aHotKeySpreadsOverMoreThanTwoHosts() {
