--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -180,11 +180,10 @@
      */
     void onEnd(long now, Host host, Reason reason, long took, boolean suspect) {
         host.inFlight--;
-        boolean slow = suspect && reason == Reason.CANCELLED;
         boolean failed = suspect || reason == Reason.ERROR || reason == Reason.RESET
                 || reason == Reason.TIMEOUT;
         connectFailures += FAILING_WEIGHT * ((reason == Reason.CONNECT_FAILED ? 1 : 0) - connectFailures);
-        if (reason.answered() || reason == Reason.TIMEOUT || slow && took > host.latency) {
+        if (reason.answered() || reason == Reason.TIMEOUT) {
             host.latency += (host.latency == 0 ? 1 : LATENCY_WEIGHT) * (took - host.latency);
         }
         if (isOrigin(host)) {
