Take few connections at once: a burst ran out of descriptors and ended the loop

The log has the cause: accept failed for want of descriptors, netty logged that through the JDK's logging, whose formatter opens the file of time zones at its first line, which failed in turn with an Error that ended the event loop. Checked: links (149 at once) and clients (their cap) leave room under 384; 256 accepts in one turn do not, as all hold a descriptor before the first is looked at. Line at fault: ClientServer.ACCEPTS_AT_ONCE = 256. Now 16 at once, the reserve is 48, a failed accept is tried again 20 ms later and logged within bounds, and what libraries log takes no formatter. The test floods the program under a limit of 96 descriptors.

--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -32,7 +33,12 @@
     /** Bytes of answers, over all connections, that clients may leave unread. */
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
     private static final int BACKLOG = 1024;
-    private static final int ACCEPTS_AT_ONCE = 256;
+    /**
+     * Connections taken in one turn of the loop. All of them hold a descriptor before the first is looked at, and
+     * one that is closed keeps it until the next turn: more at once than there is room for run out of descriptors.
+     */
+    private static final int ACCEPTS_AT_ONCE = 16;
+    private static final long ACCEPT_AGAIN_MS = 20;
     /** Reads of one connection before the loop turns to the next, lest one that floods starves the others. */
     private static final int READS_AT_ONCE = 4;
     private static final int MOST_READ = 16 * 1024;
@@ -81,7 +87,7 @@
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                // The whole accept queue is taken in one go: what waits there counts as taken.
+                .handler(new AcceptFaults())
                 .option(ChannelOption.RCVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -151,6 +157,16 @@
         return true;
     }
 
+    /** An accept that fails, for want of descriptors, is tried again soon: it must not reach the loop itself. */
+    private final class AcceptFaults extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            counters.noise("cannot accept: " + cause);
+            ctx.channel().config().setAutoRead(false);
+            loop.schedule(() -> ctx.channel().config().setAutoRead(true), ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** The place of one command in the order of answers. */
     private final class Slot implements Exchange.Client {
         private final Connection connection;
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -14,6 +14,7 @@
     public static void main(String[] args) {
         try {
             Hangup hangup = Hangup.install();
+            LibraryLog.install();
             String path = System.getenv("GW_CONFIG");
             Config config = Config.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -15,8 +15,8 @@
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 250;
     private static final int SWEEPS_PER_PRINT = 40;
-    /** Descriptors kept for the JVM itself (11 when idle), discovery and the listening socket. */
-    private static final int RESERVE = 32;
+    /** Descriptors kept for the JVM itself (11 when idle), discovery and the listening socket, and for accepts. */
+    private static final int RESERVE = 48;
     /**
      * Clients hold a third of the descriptors at most for requests. At just that many, each connection that
      * has closed and was not seen to yet costs a good one its place, so there are some more for these, for those
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -15,6 +15,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -113,6 +115,47 @@
         }
     }
 
+    /**
+     * A burst of connections was accepted whole before any of it was looked at: it ran out of descriptors, and
+     * the fault ended the event loop and with it the program.
+     */
+    @Test
+    void aFloodOfConnectionsDoesNotRunOutOfDescriptors() throws Exception {
+        List<Peer> flood = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.sockets = 96;
+            int port = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
+            ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 96; exec \"$0\" \"$@\"",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                    "-cp", System.getProperty("java.class.path"), "eiderscale.net.Main");
+            builder.environment().put("GW_CONFIG", config.toString());
+            Process process = builder.start();
+            try {
+                awaitLine(log(process), "serves on");
+                for (int i = 0; i < 600; i++) {
+                    flood.add(new Peer(new Socket(InetAddress.getLoopbackAddress(), port)));
+                }
+                String answer = null;
+                long end = System.nanoTime() + Peer.LIMIT_MS * 1_000_000L;
+                while (!"HD O2 c77".equals(answer) && System.nanoTime() < end) {
+                    try (Peer client = new Peer(new Socket(InetAddress.getLoopbackAddress(), port))) {
+                        answer = client.ask(Rig.COPY);
+                    } catch (IOException e) {
+                        answer = null;
+                    }
+                }
+                assertEquals("HD O2 c77", answer);
+                process.destroy();
+            } finally {
+                for (Peer peer : flood) {
+                    peer.close();
+                }
+                assertEquals(0, exit(process));
+            }
+        }
+    }
+
     /** SIGHUP ends a JVM that has no handler for it, and with it all that was taken. */
     @Test
     void theProgramReadsItsConfigurationAgainOnSighup() throws Exception {
