--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -50,6 +50,8 @@
     private static final long FAREWELL_NS = 2 * Clock.SECOND;
     /** No connection that has yet to speak is closed sooner to make room: its command may be on its way. */
     private static final long YOUNG_NS = 100 * Clock.MILLISECOND;
+    /** So large a part of all connections without a good command is a crowd. */
+    private static final int CROWD_PART = 4;
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
@@ -136,7 +138,9 @@
      */
     private void makeRoom() {
         for (Connection late = waiting.poll(); late != null; late = waiting.poll()) {
-            if (connections.contains(late) && connections.size() > mostClients && !evict(doubtful, YOUNG_NS)
+            // In a crowd that says nothing all are young: good idle connections must not make room for it.
+            long least = doubtful.size() > mostClients / CROWD_PART ? 0 : YOUNG_NS;
+            if (connections.contains(late) && connections.size() > mostClients && !evict(doubtful, least)
                     && !evict(idle, 0)) {
                 late.surplus = true;
             }
--- a/src/test/java/eiderscale/net/LimitsTest.java
+++ b/src/test/java/eiderscale/net/LimitsTest.java
@@ -34,6 +34,30 @@
         }
     }
 
+    /** Hundreds that connect at once and say nothing once cost good clients their idle connections. */
+    @Test
+    void aSilentCrowdDoesNotPushOutGoodClients() throws Exception {
+        List<Peer> peers = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.sockets = SOCKETS;
+            rig.start();
+            for (int i = 0; i < CLIENTS / 2; i++) {
+                peers.add(rig.client());
+                assertEquals("HD O2 c77", peers.get(i).ask(Rig.COPY));
+            }
+            for (int i = 0; i < 5 * CLIENTS; i++) {
+                peers.add(rig.client());
+            }
+            for (int i = 0; i < CLIENTS / 2; i++) {
+                assertEquals("HD O2 c77", peers.get(i).ask(Rig.COPY), "on the connection that it had");
+            }
+        } finally {
+            for (Peer peer : peers) {
+                peer.close();
+            }
+        }
+    }
+
     @Test
     void clientsPastTheLimitAreRefusedAndThoseInsideAreNot() throws Exception {
         List<Peer> peers = new ArrayList<>();
