--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -93,6 +93,8 @@
     private final int mostAttempts;
     private long timer;
     private int listFailures;
+    /** Some answer brought a load report. */
+    private boolean reportsCome;
 
     /** Starts an instance; its first list follows as an event. */
     public Router(Settings settings, long seed, Actions actions) {
@@ -325,7 +327,7 @@
         boolean broken = outcome.reason() == Reason.REJECTED && isIdle(outcome.report());
         boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
         health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt, suspect);
-        learn(now, flight, attempt, outcome.reason(), broken);
+        learn(now, flight, attempt, outcome.reason(), broken, isUnexplained(outcome.report()));
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
         }
@@ -354,12 +356,25 @@
         return busy >= 0 && busy < report.length && report[busy] < IDLE;
     }
 
-    private void learn(long now, Flight flight, Attempt attempt, Reason reason, boolean broken) {
+    /**
+     * Whether an answer lacks the load report that others bring: a rejection then has another cause than a full
+     * queue. Hosts turn away what its client has given up meanwhile; taken for load, that has a balancer which
+     * is late itself shed nearly all, for as long as refused clients keep it late. Also guards against hosts
+     * that drain and full tables of connections. Harm: where hosts report only while they have time, their
+     * overload shows in slow answers alone.
+     */
+    private boolean isUnexplained(float[] report) {
+        reportsCome |= report.length > 0;
+        return reportsCome && report.length == 0;
+    }
+
+    private void learn(long now, Flight flight, Attempt attempt, Reason reason, boolean broken,
+                       boolean unexplained) {
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(now - attempt.sentAt);
         }
         boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
-        boolean full = reason == Reason.REJECTED && !broken;
+        boolean full = reason == Reason.REJECTED && !broken && !unexplained;
         if (!health.isOrigin(attempt.host) && (full || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
             double sign = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
