--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -357,11 +357,11 @@
     }
 
     /**
-     * Whether an answer lacks the load report that others bring: a rejection then has another cause than a full
-     * queue. Hosts turn away what its client has given up meanwhile; taken for load, that has a balancer which
-     * is late itself shed nearly all, for as long as refused clients keep it late. Also guards against hosts
-     * that drain and full tables of connections. Harm: where hosts report only while they have time, their
-     * overload shows in slow answers alone.
+     * Whether an answer lacks the load report that others bring: a rejection then has another cause than a
+     * full queue. Hosts turn away what its client has given up meanwhile; taken for load, that has a balancer
+     * which is late itself shed nearly all, for as long as refused clients keep it late. Also guards against
+     * hosts that drain and full tables of connections. Harm: where hosts report only while they have time,
+     * their overload shows in slow answers alone.
      */
     private boolean isUnexplained(float[] report) {
         reportsCome |= report.length > 0;
