--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -17,6 +17,8 @@
     private static final double QUICK = 0.5;
     /** A host less busy than this that turns work away does so for another cause than load. */
     private static final double IDLE = 0.5;
+    /** Part of the wait for an answer by which timers may be late. */
+    private static final double LATE = 0.125;
     /** Safety taken off the window within which servers drop repeats. */
     private static final double WINDOW_SAFETY = 0.9;
 
@@ -95,6 +97,10 @@
     private int listFailures;
     /** Some answer brought a load report. */
     private boolean reportsCome;
+    /** Before that a missing answer tells nothing: it may have come while this balancer did not look. */
+    private long awareAt;
+    /** A timer that is later than this is a sign of own lateness. */
+    private final long mostLate;
 
     /** Starts an instance; its first list follows as an event. */
     public Router(Settings settings, long seed, Actions actions) {
@@ -105,6 +111,8 @@
         this.admission = new Admission(settings);
         this.hedging = new Hedging(settings.budget());
         this.order = new KeyOrder<>(settings.keyQuiet());
+        this.mostLate = (long) (LATE * settings.classes().stream().mapToLong(admission::slowAfter).min()
+                .orElse(0));
         this.mostAttempts = Math.max(1, Math.min(UP_TO, settings.maxAttempts()));
     }
 
@@ -245,6 +253,7 @@
             actions.subscribe();
             return;
         }
+        noticeLateness(now);
         while (!alarms.isEmpty() && alarms.peek().at <= now) {
             Alarm alarm = alarms.poll();
             if (!alarm.isVoid() && alarm.flight.held) {
@@ -256,8 +265,26 @@
         setTimer(now);
     }
 
+    /**
+     * A timer that comes late shows that nothing else was looked at meanwhile either: answers may wait
+     * unread, so this balancer allows them as long again as it was away. Guards against taking own lateness
+     * (a cold start, a share of a core that is used up, a long collection, a suspended machine) for slow
+     * hosts: one stall had all that was out count as overload and be copied. Harm: while this balancer is
+     * late all the time, a slow fleet shows in rejections alone, and copies come later.
+     */
+    private void noticeLateness(long now) {
+        long late = alarms.isEmpty() ? 0 : now - alarms.peek().at;
+        if (late > mostLate) {
+            awareAt = Math.max(awareAt, now + late);
+        }
+    }
+
     /** A flight is still out: its copy may be due, and an answer that is late already tells of overload. */
     private void lookAgain(long now, Flight flight) {
+        if (now < awareAt) {
+            flight.slowAt = flight.slowAt == NEVER ? NEVER : Math.max(flight.slowAt, awareAt);
+            flight.hedgeAt = flight.hedgeAt == NEVER ? NEVER : Math.max(flight.hedgeAt, awareAt);
+        }
         if (now >= flight.slowAt) {
             flight.slowAt = NEVER;
             admission.load(now, flight.missed ? 0 : Admission.SLOWNESS);
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -20,11 +20,11 @@
 
     private static final String SETTINGS = """
             {"categories":[
-              {"name":"read","effect":"retryable","group":"all","goal-time-ns":5000000000,
+              {"name":"read","effect":"retryable","group":"all","goal-time-ns":%6$d000000,
                "deadline-ns":%1$d000000,"late-worth":0.5,"window-ns":5000000000},
-              {"name":"copy","effect":"fragile","group":"all","goal-time-ns":5000000000,
+              {"name":"copy","effect":"fragile","group":"all","goal-time-ns":%6$d000000,
                "deadline-ns":%1$d000000,"late-worth":0.5,"window-ns":5000000000},
-              {"name":"put","effect":"dedup","group":"all","goal-time-ns":5000000000,
+              {"name":"put","effect":"dedup","group":"all","goal-time-ns":%6$d000000,
                "deadline-ns":%1$d000000,"late-worth":0.5,"window-ns":5000000000}],
              "tenants":[{"name":"acme","allowance-per-s":100000.0,"fraction":1.0}],
              "zones":["a","b"],"kinds":["m1"],"my-zone":0,"n-instances":1,"rank":0,
@@ -40,6 +40,7 @@
     /** Further hosts, as discovery lists them. */
     final List<String> extraTargets = new ArrayList<>();
     long deadlineMs = 10_000;
+    long aimMs = 5_000;
     long idleMs = 30_000;
     long connectMs = 5_000;
     int maxOpen = 1_000;
@@ -63,7 +64,7 @@
 
     String settings() {
         return String.format(Locale.ROOT, SETTINGS, deadlineMs, idleMs, connectMs, maxOpen,
-                graceMs * Clock.MILLISECOND);
+                graceMs * Clock.MILLISECOND, aimMs);
     }
 
     String config(String listen) {
