--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -94,7 +94,9 @@
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ).maxMessagesPerRead(READS_AT_ONCE))
+                        // Read on behind a short read: that is where the end of a connection shows.
+                        new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ).respectMaybeMoreData(false)
+                                .maxMessagesPerRead(READS_AT_ONCE))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
@@ -209,6 +211,9 @@
         private boolean leaving;
         private boolean gone;
         private boolean reading;
+        /** The command that was read last, and its place, until it is begun. */
+        private Slot pending;
+        private MetaFrame pendingFrame;
 
         Connection(Channel channel, MetaDecoder decoder) {
             this.channel = channel;
@@ -272,13 +277,37 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
+            begin();
             if (quitting) {
                 return;
             }
             beBusy();
+            pending = new Slot(this);
+            pendingFrame = frame;
+            slots.add(pending);
+            loop.execute(this::begin);
+        }
+
+        /**
+         * Begins the command that was read last, once the reads of this turn are over: by then the end of a
+         * connection that was closed behind it has been seen too, and what nobody waits for any more is let drop.
+         * Guards against a queue of connections that all are dead by the time they are accepted, each of which
+         * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
+         * Harm: a client that only closes its sending side is not answered, as ever.
+         */
+        private void begin() {
+            Slot slot = pending;
+            MetaFrame frame = pendingFrame;
+            pending = null;
+            pendingFrame = null;
+            if (slot == null || gone) {
+                return;
+            }
+            if (!channel.isActive()) {
+                counters.departed++;
+                return;
+            }
             reading = true;
-            Slot slot = new Slot(this);
-            slots.add(slot);
             if (frame.fault() != null) {
                 fault(slot, frame.fault(), frame.last());
             } else {
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -16,6 +16,8 @@
     long refused;
     long failed;
     long clientsGone;
+    /** Commands whose clients had closed their connections before anything was done. */
+    long departed;
     long malformed;
     long lastCalls;
     long connects;
@@ -43,9 +45,9 @@
     /** Writes what has been counted so far. */
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
-                "taken %d served %d refused %d failed %d gone %d malformed %d last-calls %d | connects %d"
+                "taken %d served %d refused %d failed %d gone %d departed %d malformed %d last-calls %d | connects %d"
                 + " local-refusals %d | evicted %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
-                clientsGone, malformed, lastCalls, connects, localRefusals, evicted,
+                clientsGone, departed, malformed, lastCalls, connects, localRefusals, evicted,
                 timedOut, retired, turnedAway, timers, lateTimers, latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
--- a/src/test/java/eiderscale/net/OwnLatenessTest.java
+++ b/src/test/java/eiderscale/net/OwnLatenessTest.java
@@ -6,6 +6,7 @@
 import eiderscale.Router;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.TimeUnit;
@@ -69,10 +70,18 @@
             if (requests == 2 * READS) {
                 try {
                     answered.await(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
-                    Thread.sleep(AIM_MS);
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
+                sleep(AIM_MS);
+            }
+        }
+
+        private static void sleep(long ms) {
+            try {
+                Thread.sleep(ms);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
 
@@ -128,4 +137,39 @@
             assertServed(client, 0, 20);
         }
     }
+
+    /** All that waits behind a stall may be dead by its end, and would be served before the living. */
+    @Test
+    void aCommandWhoseClientHasClosedBehindItIsNotTaken() throws Exception {
+        List<Long> taken = new CopyOnWriteArrayList<>();
+        CountDownLatch stalled = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        Rig set = new Rig();
+        set.module = (settings, seed, actions) -> new Scripted(actions) {
+            @Override
+            public void onRequest(long now, Api.Request request) {
+                taken.add(request.key());
+                stalled.countDown();
+                try {
+                    go.await(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                actions.refuse(request.id(), 0);
+            }
+        };
+        try (Rig rig = set.start(); Peer first = rig.client()) {
+            first.write("mg 1 v O1 Pc=read,t=acme,d=9000\r\n");
+            stalled.await();
+            try (Peer departs = rig.client()) {
+                departs.write("mg 2 v O2 Pc=read,t=acme,d=9000\r\n");
+            }
+            go.countDown();
+            assertEquals("SERVER_ERROR busy", first.line());
+            try (Peer last = rig.client()) {
+                assertEquals("SERVER_ERROR busy", last.ask("mg 3 v O3 Pc=read,t=acme,d=9000"));
+            }
+            assertEquals(List.of(1L, 3L), taken);
+        }
+    }
 }
