Refused clients are told when to come again, the later the more is shed

Cause: Router.onRequest refused shed requests with no wait at all unless their tenant was over its share, and refused clients came back up to eight times as fast as first tries. The settings allow a wait (up to 2 s) and most clients keep to it. Now it grows with the square of what is shed, spread over a quarter to the whole. The test was seen to fail without the change.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -20,6 +20,8 @@
     static final double REJECTION = -3;
     static final double SLOWNESS = -1;
     private static final double LEAST_ADMITTED = 0.05;
+    /** Part of the longest wait told to a refused client that is told to each of them. */
+    private static final double LEAST_WAIT = 0.25;
     private static final int WRITE_SMOOTHING = 8;
 
     private final Settings settings;
@@ -43,6 +45,17 @@
         return dice >= (write ? Math.sqrt(pass) : pass);
     }
 
+    /**
+     * When a refused client should come again: at once while little is shed, spread over most of what it has
+     * left to wait while nearly all is. Guards against tries that multiply as more of them are refused, which
+     * costs a balancer the time that it needs to serve. Harm: a request that would have been let in at its
+     * next try comes late for its aim.
+     */
+    long retryAfter(RequestClass requestClass, double dice) {
+        double shed = Math.max(0, 1 - 2 * admitted);
+        return (long) (requestClass.deadline() * shed * shed * (LEAST_WAIT + (1 - LEAST_WAIT) * dice));
+    }
+
     /**
      * A cache answered quickly, turned a request away, or has one out for long: half of one kind and half of
      * the other balance, so that lost answers alone shed nothing. Guards against jams that outlast their
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -141,7 +141,8 @@
         boolean worthless = flight.usefulUntil <= now;
         if (worthless || request.write() && !admission.fill(true, health.nextUnit())
                 || admission.shed(over, request.write(), health.nextUnit())) {
-            actions.refuse(request.id(), over || worthless ? settings.maxRetryAfter() : 0);
+            actions.refuse(request.id(), over || worthless ? settings.maxRetryAfter()
+                    : admission.retryAfter(requestClass, health.nextUnit()));
             return;
         }
         admission.take(request.tenant());
--- a/src/test/java/eiderscale/net/OwnLatenessTest.java
+++ b/src/test/java/eiderscale/net/OwnLatenessTest.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderscale.Api;
 import eiderscale.Router;
@@ -112,6 +113,21 @@
         return commands.toString();
     }
 
+    /** Tries multiplied as more of them were refused, since nothing told clients when to come again. */
+    @Test
+    void theMoreIsShedTheLaterClientsAreToldToComeAgain() throws Exception {
+        FakeHost full = FakeHost.answering(c -> "SERVER_ERROR busy Lutil=1.0\r\n");
+        try (Rig rig = new Rig(full).start(); Peer client = rig.client()) {
+            int waits = 0;
+            for (int i = 0; i < 200; i++) {
+                String answer = client.ask("mg " + i + " v O" + i + " Pc=read,t=acme,d=9000");
+                assertTrue(answer.startsWith("SERVER_ERROR busy"), answer);
+                waits += answer.length() > "SERVER_ERROR busy".length() ? 1 : 0;
+            }
+            assertTrue(waits > 100, "refusals with a wait: " + waits);
+        }
+    }
+
     /** Answers that came while the loop stood still had not been read when the timers that miss them ran. */
     @Test
     void answersThatWaitUnreadAreNotTakenForSlow() throws Exception {
