--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -62,7 +62,6 @@
     private final Counters counters;
     private final int mostClients;
     private final int mostSurplus;
-    private final int mostKept;
     private final Budget budget;
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Connections with nothing to do, the one that has been so for longest first. */
@@ -75,13 +74,9 @@
     private long unread;
     private boolean closing;
 
-    /**
-     * {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. {@code mostKept}:
-     * connections for requests from which on idle ones are closed.
-     */
+    /** {@code mostSurplus}: connections over {@code mostClients} that are kept just to be refused. */
     ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, int mostClients,
-                 int mostSurplus, int mostKept) {
-        this.mostKept = mostKept;
+                 int mostSurplus) {
         this.balancer = balancer;
         this.budget = budget;
         this.loop = loop;
@@ -154,18 +149,6 @@
         }
     }
 
-    /**
-     * Closes the connection that has been idle for longest when many are open. Clients may open only so many, and
-     * those that ask once and keep theirs for good leave the others none to ask on: nothing shows here but idle
-     * connections and few requests. Also guards against clients that leak connections. Harm: where that many are
-     * in use by turns, some are opened again for nothing. It runs behind the reads of a turn, as {@link #makeRoom}.
-     */
-    private void keepFew() {
-        if (connections.size() - doubtful.size() > mostKept) {
-            evict(idle, YOUNG_NS);
-        }
-    }
-
     private boolean evict(Set<Connection> from, long leastNs) {
         Iterator<Connection> longest = from.iterator();
         if (!longest.hasNext()) {
@@ -259,9 +242,6 @@
             // Asked again while it is idle, it keeps its place in the line.
             if ((spoke && faults == 0 ? idle : doubtful).add(this)) {
                 since = Clock.now();
-                if (connections.size() - doubtful.size() > mostKept) {
-                    loop.execute(ClientServer.this::keepFew);
-                }
             }
         }
 
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -23,8 +23,6 @@
      * that only say nothing, and for those that are kept just to be refused.
      */
     private static final int REQUESTS_PART = 3;
-    /** Part of what clients may open for requests from which on idle connections are closed. */
-    private static final double KEPT_PART = 0.75;
     private static final int FURTHER_PART = 8;
     private static final int SURPLUS_PART = 16;
     private static final int MOST_SURPLUS = 16;
@@ -48,8 +46,7 @@
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
         int links = Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus);
         balancer = new Balancer(config, loop, counters, module, budget, links);
-        server = new ClientServer(balancer, loop, counters, budget, clients, surplus,
-                (int) (all / REQUESTS_PART * KEPT_PART));
+        server = new ClientServer(balancer, loop, counters, budget, clients, surplus);
     }
 
     /** Begins to listen: from then on it is ready to serve. */
