Configuration is read in a package of its own, eiderscale.config

The settings' parser lay with the simulator's adapter and was used by the balancer too; the configuration, the site's names and the lists of hosts lay in net. An application's own file is to fill the same model, so the model, its parsing and the faults in it go to eiderscale.config, which does no I/O; net keeps the reading of the platform's file.

--- a/src/main/java/eiderscale/net/Catalog.java
+++ b/src/main/java/eiderscale/config/Catalog.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.config;
 
 import eiderscale.Api;
 import io.netty.util.NetUtil;
@@ -11,16 +11,17 @@
 import java.util.Map;
 
 /** A list of cache hosts in discovery's form: all of them, or those that changed. */
-record Catalog(long rev, boolean all, List<Member> members) {
-    private static final int MOST_PORT = 0xffff;
+public record Catalog(long rev, boolean all, List<Member> members) {
+    static final int MOST_PORT = 0xffff;
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
     /** A host as the module knows it, and where it is reached from here. */
-    record Member(Api.Server server, InetSocketAddress endpoint) {
+    public record Member(Api.Server server, InetSocketAddress endpoint) {
     }
 
-    static Catalog parse(Map<?, ?> json, Site site) {
+    /** Reads discovery's form; {@code site} numbers the names of zones and kinds. */
+    public static Catalog parse(Map<?, ?> json, Site site) {
         List<Member> members = new ArrayList<>();
         for (Object target : Json.list(json, "targets")) {
             members.add(member(Json.object(target), site));
@@ -43,12 +44,12 @@
                 site.kind(Json.get(json, "model", String.class, "")),
                 Json.get(json, "pod_group", Number.class, 0).intValue(), state,
                 Json.get(json, "capacity_hint", Number.class, 1).doubleValue(),
-                Json.get(json, "boot_ms", Number.class, 0).longValue() * Clock.MILLISECOND);
+                Json.get(json, "boot_ms", Number.class, 0).longValue() * Units.MILLISECOND);
         return new Member(server, address(Json.get(json, "endpoint", String.class)));
     }
 
     /** FNV-1a: the same 64-bit number for a text at every balancer. */
-    static long hash(String text) {
+    public static long hash(String text) {
         long hash = FNV_OFFSET;
         for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
             hash = (hash ^ (b & 0xff)) * FNV_PRIME;
@@ -57,7 +58,7 @@
     }
 
     /** Reads ADDRESS:PORT; names are not looked up, as there is no DNS. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         byte[] address = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
--- a/src/main/java/eiderscale/net/Json.java
+++ b/src/main/java/eiderscale/config/Json.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.config;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
@@ -7,11 +7,12 @@
 import java.util.Map;
 
 /** Typed looks into parsed JSON; what is missing or of another type is said in one line. */
-final class Json {
+public final class Json {
     private Json() {
     }
 
-    static Map<?, ?> parse(byte[] text) {
+    /** Parses an object; throws {@link ConfigException} if it is none. */
+    public static Map<?, ?> parse(byte[] text) {
         try {
             return JSON.std.mapFrom(new String(text, StandardCharsets.UTF_8));
         } catch (IOException e) {
@@ -20,7 +21,8 @@
         }
     }
 
-    static <T> T get(Map<?, ?> object, String name, Class<T> type) {
+    /** A value that must be there. */
+    public static <T> T get(Map<?, ?> object, String name, Class<T> type) {
         Object value = object.get(name);
         if (!type.isInstance(value)) {
             throw new ConfigException("'" + name + "' is missing or no " + type.getSimpleName());
@@ -28,18 +30,21 @@
         return type.cast(value);
     }
 
-    static <T> T get(Map<?, ?> object, String name, Class<T> type, T otherwise) {
+    /** A value that may be left out. */
+    public static <T> T get(Map<?, ?> object, String name, Class<T> type, T otherwise) {
         return object.get(name) == null ? otherwise : get(object, name, type);
     }
 
-    static Map<?, ?> object(Object value) {
+    /** An element that must be an object. */
+    public static Map<?, ?> object(Object value) {
         if (value instanceof Map<?, ?> map) {
             return map;
         }
         throw new ConfigException("a list holds something else than objects");
     }
 
-    static List<?> list(Map<?, ?> object, String name) {
+    /** A list, empty if left out. */
+    public static List<?> list(Map<?, ?> object, String name) {
         return get(object, name, List.class, List.of());
     }
 }
--- /dev/null
+++ b/src/main/java/eiderscale/config/PlatformReader.java
@@ -0,0 +1,101 @@
+package eiderscale.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Reads the JSON that a platform hands its balancers. */
+public final class PlatformReader {
+    private static final int DEFAULT_SOCKETS = 1024;
+    /** Bytes of values that may be held together; the platform's heap has room for a few times that. */
+    private static final long HELD_BYTES = 8L * 1024 * 1024;
+
+    private PlatformReader() {
+    }
+
+    /** Throws {@link ConfigException} if the text is no configuration. */
+    public static Config config(byte[] text) {
+        Map<?, ?> json = Json.parse(text);
+        Site site = site(Json.get(json, "settings", Map.class));
+        Map<?, ?> limits = Json.get(json, "limits", Map.class, Map.of());
+        Map<?, ?> known = Json.get(json, "known", Map.class, Map.of("rev", 0, "all", true));
+        try {
+            return new Config(Json.get(json, "name", String.class, "balancer"),
+                    List.of(Catalog.address(Json.get(json, "listen", String.class))),
+                    Catalog.address(Json.get(json, "discovery", String.class)),
+                    Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
+                    Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue(), HELD_BYTES, site,
+                    Catalog.parse(known, site));
+        } catch (NumberFormatException e) {
+            throw new ConfigException("'seed' is no hexadecimal number");
+        }
+    }
+
+    /** Reads the settings object alone. */
+    public static Site site(Map<?, ?> json) {
+        Map<String, String> lines = new TreeMap<>();
+        flatten("", json, lines);
+        StringBuilder text = new StringBuilder();
+        lines.forEach((path, value) -> text.append(path).append('=').append(value).append('\n'));
+        Site.Builder site = new Site.Builder(SettingsParser.parse(text.toString()));
+        if (site.settings.classes().isEmpty()) {
+            throw new ConfigException("the settings name no request class");
+        }
+        site.connectTimeout = whole(lines, "ceilings.connect-timeout-ns", 250 * Units.MILLISECOND);
+        site.idleTime = whole(lines, "ceilings.conn-idle-ns", 10 * Units.SECOND);
+        site.maxOpen = (int) whole(lines, "ceilings.max-open", 20_000);
+        if (whole(lines, "ceilings.multiplex", 1) < 1) {
+            throw new ConfigException("'ceilings.multiplex' allows no request on a connection");
+        }
+        site.classes = numbers(Json.list(json, "categories"), true);
+        site.tenants = numbers(Json.list(json, "tenants"), true);
+        site.zones = numbers(Json.list(json, "zones"), false);
+        site.kinds = numbers(Json.list(json, "kinds"), false);
+        site.fields = numbers(Json.list(Json.get(json, "load-report", Map.class, Map.of()), "fields"), false);
+        return site.build();
+    }
+
+    /** Writes an object in the form of the simulator's settings lines, so that both sides parse alike. */
+    private static void flatten(String path, Object value, Map<String, String> lines) {
+        if (value instanceof Map<?, ?> map) {
+            String prefix = path.isEmpty() ? "" : path + ".";
+            map.forEach((name, inner) -> flatten(prefix + name, inner, lines));
+        } else if (value instanceof List<?> list && list.stream().anyMatch(Map.class::isInstance)) {
+            lines.put(path + ".count", Integer.toString(list.size()));
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), lines);
+            }
+        } else if (value instanceof List<?> list) {
+            lines.put(path, String.join(",", list.stream().map(PlatformReader::scalar).toList()));
+        } else if (value != null) {
+            lines.put(path, scalar(value));
+        }
+    }
+
+    private static String scalar(Object value) {
+        return String.valueOf(value).replaceAll("[\\s,]", "_");
+    }
+
+    private static long whole(Map<String, String> lines, String path, long otherwise) {
+        try {
+            String value = lines.get(path);
+            return value == null ? otherwise : (long) Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new ConfigException("setting " + path + " is no number");
+        }
+    }
+
+    private static Map<String, Integer> numbers(List<?> list, boolean objects) {
+        List<String> names = new ArrayList<>();
+        for (Object item : list) {
+            names.add(objects ? Json.get(Json.object(item), "name", String.class) : String.valueOf(item));
+        }
+        Map<String, Integer> numbers = new HashMap<>();
+        for (int i = 0; i < names.size(); i++) {
+            numbers.put(names.get(i), i);
+        }
+        return numbers;
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/config/Routes.java
@@ -0,0 +1,7 @@
+package eiderscale.config;
+
+/** Placeholder. */
+public final class Routes {
+    private Routes() {
+    }
+}
--- a/src/main/java/eiderscale/sim/SettingsParser.java
+++ b/src/main/java/eiderscale/config/SettingsParser.java
@@ -1,4 +1,4 @@
-package eiderscale.sim;
+package eiderscale.config;
 
 import eiderscale.Api;
 import java.util.ArrayList;
@@ -96,7 +96,7 @@
     private int count(String key) {
         long n = whole(key, 0);
         if (n < 0 || n > MOST_ITEMS) {
-            throw new WireException("setting " + key + " has an impossible value: " + n);
+            throw new ConfigException("setting " + key + " has an impossible value: " + n);
         }
         return (int) n;
     }
@@ -131,6 +131,6 @@
         } catch (NumberFormatException e) {
             // Told below, as for numbers that are not finite.
         }
-        throw new WireException("setting " + key + " is no number: " + value);
+        throw new ConfigException("setting " + key + " is no number: " + value);
     }
 }
--- /dev/null
+++ b/src/main/java/eiderscale/config/Site.java
@@ -0,0 +1,129 @@
+package eiderscale.config;
+
+import eiderscale.Api;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The settings of a site: those of the module, the names that stand on sockets for its numbers, and the
+ * figures that only sockets need. Times in nanoseconds.
+ */
+public final class Site {
+    /** What the cache hosts are, which decides how they are spoken to. */
+    public enum HostKind {
+        /** Hosts that read through, as the platform's do. */
+        META,
+        /** Real memcached: a read that misses is answered so. */
+        MEMCACHED
+    }
+
+    /** Load report fields: their names on sockets and in the settings, where these differ. */
+    private static final Map<String, String> FIELD_NAMES = Map.of("inflight", "rif", "queue", "q",
+            "util", "busy", "latency_ms", "lat_ms", "qps", "rate", "eps", "fail_rate");
+    private static final float[] NO_REPORT = {};
+    /** Names of zones and kinds that are told apart; discovery may send new ones for ever. */
+    private static final int MOST_NAMES = 4096;
+
+    public final Api.Settings settings;
+    public final long connectTimeout;
+    public final long idleTime;
+    public final int maxOpen;
+    public final HostKind hostKind;
+    /** Picks the class of a request; null where clients name it and nothing else counts. */
+    public final Routes routes;
+    private final Map<String, Integer> classes;
+    private final Map<String, Integer> tenants;
+    private final Map<String, Integer> zones;
+    private final Map<String, Integer> kinds;
+    private final Map<String, Integer> fields;
+
+    /** What a site is made of; maps give each name its place in the settings' lists. */
+    static final class Builder {
+        final Api.Settings settings;
+        long connectTimeout;
+        long idleTime;
+        int maxOpen;
+        HostKind hostKind = HostKind.META;
+        Routes routes;
+        Map<String, Integer> classes = Map.of();
+        Map<String, Integer> tenants = Map.of();
+        Map<String, Integer> zones = Map.of();
+        Map<String, Integer> kinds = Map.of();
+        Map<String, Integer> fields = Map.of();
+
+        Builder(Api.Settings settings) {
+            this.settings = settings;
+        }
+
+        Site build() {
+            return new Site(this);
+        }
+    }
+
+    private Site(Builder from) {
+        settings = from.settings;
+        connectTimeout = from.connectTimeout;
+        idleTime = from.idleTime;
+        maxOpen = from.maxOpen;
+        hostKind = from.hostKind;
+        routes = from.routes;
+        classes = Map.copyOf(from.classes);
+        tenants = Map.copyOf(from.tenants);
+        zones = new HashMap<>(from.zones);
+        kinds = new HashMap<>(from.kinds);
+        fields = Map.copyOf(from.fields);
+    }
+
+    /** The number of a request class, or null for a name that the settings do not hold. */
+    public Integer requestClass(String name) {
+        return name == null ? null : classes.get(name);
+    }
+
+    /** The number of a tenant; where the site has none, every name is tenant 0. */
+    public Integer tenant(String name) {
+        return tenants.isEmpty() ? Integer.valueOf(0) : name == null ? null : tenants.get(name);
+    }
+
+    /** A zone that the settings do not name gets a number of its own: it is nobody's own zone. */
+    int zone(String name) {
+        return number(zones, name);
+    }
+
+    int kind(String name) {
+        return number(kinds, name);
+    }
+
+    private static int number(Map<String, Integer> numbers, String name) {
+        Integer known = numbers.get(name);
+        if (known == null && numbers.size() >= MOST_NAMES) {
+            return MOST_NAMES;
+        }
+        return known != null ? known : numbers.computeIfAbsent(name, n -> numbers.size());
+    }
+
+    /** The values of a load report, as the settings order them; empty unless it holds all of them. */
+    public float[] report(String text) {
+        if (text == null || fields.isEmpty()) {
+            return NO_REPORT;
+        }
+        float[] report = new float[fields.size()];
+        int found = 0;
+        for (String part : text.split(",")) {
+            int equals = part.indexOf('=');
+            String name = part.substring(0, Math.max(0, equals));
+            Integer at = fields.get(FIELD_NAMES.getOrDefault(name, name));
+            try {
+                if (at != null) {
+                    report[at] = Float.parseFloat(part.substring(equals + 1));
+                    if (!Float.isFinite(report[at])) {
+                        return NO_REPORT;
+                    }
+                    found++;
+                }
+            } catch (NumberFormatException e) {
+                return NO_REPORT;
+            }
+        }
+        return found == report.length ? report : NO_REPORT;
+    }
+}
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -1,5 +1,8 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Config;
+import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Api.Reason;
 import io.netty.channel.EventLoop;
--- a/src/main/java/eiderscale/net/Command.java
+++ b/src/main/java/eiderscale/net/Command.java
@@ -1,5 +1,7 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Site;
 import eiderscale.Api;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -1,5 +1,10 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Config;
+import eiderscale.config.ConfigException;
+import eiderscale.config.Json;
+import eiderscale.config.Site;
 import eiderscale.Api.ListMode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -1,5 +1,7 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Api.Reason;
 import io.netty.bootstrap.Bootstrap;
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/net/Main.java
@@ -1,5 +1,7 @@
 package eiderscale.net;
 
+import eiderscale.config.Config;
+import eiderscale.config.ConfigException;
 import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -16,14 +18,14 @@
             Hangup hangup = Hangup.install();
             LibraryLog.install();
             String path = System.getenv("GW_CONFIG");
-            Config config = Config.read(path);
+            Config config = ConfigFile.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
             Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
             hangup.serve(() -> loop.execute(() -> node.reload(path)));
-            Counters.log(config.name() + " serves on " + config.listen());
+            Counters.log(config.name() + " serves on " + config.listeners().get(0));
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
             Runtime.getRuntime().halt(1);
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -1,5 +1,8 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Config;
+import eiderscale.config.ConfigException;
 import eiderscale.Api;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -26,13 +29,11 @@
     private static final int FURTHER_PART = 8;
     private static final int SURPLUS_PART = 16;
     private static final int MOST_SURPLUS = 16;
-    /** Bytes of values that may be held together; the heap has room for a few times that. */
-    private static final long MOST_HELD = 8L * 1024 * 1024;
 
     private final Config config;
     private final EventLoop loop;
     private final Counters counters = new Counters();
-    private final Budget budget = new Budget(MOST_HELD);
+    private final Budget budget;
     private final Balancer balancer;
     private final ClientServer server;
     private int sweeps;
@@ -41,6 +42,7 @@
     Node(Config config, EventLoop loop, Balancer.Module module) {
         this.config = config;
         this.loop = loop;
+        budget = new Budget(config.heldBytes());
         int all = config.sockets();
         int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
@@ -52,7 +54,7 @@
     /** Begins to listen: from then on it is ready to serve. */
     ChannelFuture start() {
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return server.listen(config.listen());
+        return server.listen(config.listeners().get(0));
     }
 
     private void sweep() {
@@ -79,7 +81,7 @@
     /** Reads the configuration again; one that cannot be used changes nothing. */
     void reload(String path) {
         try {
-            balancer.reload(Config.read(path));
+            balancer.reload(ConfigFile.read(path));
         } catch (ConfigException e) {
             Counters.log("the old configuration stays: " + e.getMessage());
         }
--- a/src/main/java/eiderscale/net/Rehearsal.java
+++ b/src/main/java/eiderscale/net/Rehearsal.java
@@ -1,5 +1,7 @@
 package eiderscale.net;
 
+import eiderscale.config.Config;
+import eiderscale.config.PlatformReader;
 import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -56,7 +58,7 @@
         try (ServerSocket discovery = peer(Rehearsal::list); ServerSocket host = peer(Rehearsal::serve)) {
             byte[] json = String.format(CONFIG, discovery.getLocalPort(), host.getLocalPort())
                     .getBytes(StandardCharsets.UTF_8);
-            Config config = Config.parse(Json.parse(json));
+            Config config = PlatformReader.config(json);
             Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
             InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().channel()
                     .localAddress();
--- a/src/main/java/eiderscale/sim/Adapter.java
+++ b/src/main/java/eiderscale/sim/Adapter.java
@@ -2,6 +2,7 @@
 
 import eiderscale.Api;
 import eiderscale.Router;
+import eiderscale.config.SettingsParser;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
--- a/src/main/java/eiderscale/sim/Main.java
+++ b/src/main/java/eiderscale/sim/Main.java
@@ -1,5 +1,6 @@
 package eiderscale.sim;
 
+import eiderscale.config.ConfigException;
 import java.io.BufferedInputStream;
 import java.io.FileInputStream;
 import java.io.FileDescriptor;
@@ -33,7 +34,7 @@
         try {
             new Adapter(in, out).run();
             return 0;
-        } catch (WireException e) {
+        } catch (WireException | ConfigException e) {
             err.println("eiderscale: malformed input: " + e.getMessage());
         } catch (IOException e) {
             err.println("eiderscale: cannot read or write the wire: " + e.getMessage());
--- a/src/test/java/eiderscale/net/BadInputTest.java
+++ b/src/test/java/eiderscale/net/BadInputTest.java
@@ -1,5 +1,8 @@
 package eiderscale.net;
 
+import eiderscale.config.Config;
+import eiderscale.config.ConfigException;
+import eiderscale.config.PlatformReader;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -173,7 +176,7 @@
     }
 
     private static void bad(String json) {
-        assertThrows(ConfigException.class, () -> Config.parse(Json.parse(json.getBytes(StandardCharsets.UTF_8))), json);
+        assertThrows(ConfigException.class, () -> PlatformReader.config(json.getBytes(StandardCharsets.UTF_8)), json);
     }
 
     @Test
@@ -182,7 +185,7 @@
         try (Rig rig = new Rig()) {
             good = rig.config("127.0.0.1:0");
         }
-        Config config = Config.parse(Json.parse(good.getBytes(StandardCharsets.UTF_8)));
+        Config config = PlatformReader.config(good.getBytes(StandardCharsets.UTF_8));
         assertEquals(3, config.site().settings.classes().size());
         assertEquals(7, config.known().rev());
         assertEquals(1_000_000_000L, config.site().settings.drainGrace());
@@ -196,7 +199,7 @@
         bad(good.replace("\"categories\"", "\"categories-x\""));
         bad(good.replace("\"multiplex\":1", "\"multiplex\":0"));
         bad(good.replace("0.2", "\"cold\""));
-        assertThrows(ConfigException.class, () -> Config.read(null));
-        assertThrows(ConfigException.class, () -> Config.read("/nonexistent/config.json"));
+        assertThrows(ConfigException.class, () -> ConfigFile.read(null));
+        assertThrows(ConfigException.class, () -> ConfigFile.read("/nonexistent/config.json"));
     }
 }
--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -1,5 +1,7 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Json;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -1,5 +1,8 @@
 package eiderscale.net;
 
+import eiderscale.config.Catalog;
+import eiderscale.config.Json;
+import eiderscale.config.Site;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -1,5 +1,9 @@
 package eiderscale.net;
 
+import eiderscale.config.Config;
+import eiderscale.config.Json;
+import eiderscale.config.PlatformReader;
+import eiderscale.config.Site;
 import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -79,13 +83,13 @@
     }
 
     Site site() {
-        return new Site(Json.parse(settings().getBytes(StandardCharsets.UTF_8)));
+        return PlatformReader.site(Json.parse(settings().getBytes(StandardCharsets.UTF_8)));
     }
 
     Rig start() throws Exception {
         group = new NioEventLoopGroup(1);
         loop = group.next();
-        Config config = Config.parse(Json.parse(config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8)));
+        Config config = PlatformReader.config(config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8));
         node = loop.submit(() -> new Node(config, loop, module)).get();
         address = (InetSocketAddress) loop.submit(node::start).get().sync().channel().localAddress();
         return this;
--- a/src/test/java/eiderscale/net/ServingTest.java
+++ b/src/test/java/eiderscale/net/ServingTest.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.config.Site;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/eiderscale/sim/AdapterTest.java
+++ b/src/test/java/eiderscale/sim/AdapterTest.java
@@ -7,6 +7,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderscale.Api;
+import eiderscale.config.ConfigException;
+import eiderscale.config.SettingsParser;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -163,7 +165,7 @@
     void settingsThatAreNoNumbersAreErrors() {
         for (String line : new String[] {"categories.count=x", "rank=NaN", "guarantees.tip-multiple=Infinity",
             "categories.count=-1", "guarantees.resend-span-ns=soon"}) {
-            assertThrows(WireException.class, () -> SettingsParser.parse("n-instances=1\n" + line + "\n"), line);
+            assertThrows(ConfigException.class, () -> SettingsParser.parse("n-instances=1\n" + line + "\n"), line);
         }
     }
 
