Settings can be renewed under load; classes may forgo retries and copies

An application's file is to be reloaded while requests are open, and to say for each class whether it is sent again and copied, which the platform's settings cannot. The module now takes retry and hedge for each class, both only narrowing what the effect allows, and the quantile after which a copy goes out; without them it is as before. The balancer keeps a generation for each set of settings: a request ends under the module and the class that took it, and a generation goes when its last request has ended.

--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -56,9 +56,20 @@
         }
     }
 
-    /** A request class; times in nanoseconds. {@code inOrder}: requests with one key run one at a time. */
+    /**
+     * A request class; times in nanoseconds. {@code inOrder}: requests with one key run one at a time.
+     * {@code retry}, {@code hedge}: whether an attempt that may have run may be followed by another,
+     * and whether a copy may run beside one. Both only narrow what {@code effect} allows.
+     */
     public record RequestClass(long aim, double aimStretch, long deadline, double worth, double lateWorth,
-                               Effect effect, Group group, long window, boolean stream, boolean inOrder) {
+                               Effect effect, Group group, long window, boolean stream, boolean inOrder,
+                               boolean retry, boolean hedge) {
+        /** A class that is resent wherever its effect allows it. */
+        public RequestClass(long aim, double aimStretch, long deadline, double worth, double lateWorth,
+                            Effect effect, Group group, long window, boolean stream, boolean inOrder) {
+            this(aim, aimStretch, deadline, worth, lateWorth, effect, group, window, stream, inOrder,
+                    true, true);
+        }
     }
 
     /** A tenant: requests a second within its share over all balancers, and its fraction of service. */
@@ -76,13 +87,29 @@
     /**
      * What a balancer is told at its start; times in nanoseconds. {@code keyQuiet}: how long a key in order
      * rests after an attempt that may still be running. {@code budget}: null where there is none.
+     * {@code hedgeQuantile}: the quantile of served latencies after which a copy goes out, in (0, 1).
      */
     public record Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
                            int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
                            boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
                            long drainGrace, long askWithin, double coldFrom,
                            long warmWithin, double tipMultiple, long fallTime, double overShareWorth,
-                           long keyQuiet, Budget budget, ReportLayout report) {
+                           long keyQuiet, Budget budget, ReportLayout report, double hedgeQuantile) {
+        /** Where no quantile is stated. */
+        public static final double HEDGE_QUANTILE = 0.95;
+
+        /** Settings that state no quantile. */
+        public Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
+                        int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
+                        boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
+                        long drainGrace, long askWithin, double coldFrom,
+                        long warmWithin, double tipMultiple, long fallTime, double overShareWorth,
+                        long keyQuiet, Budget budget, ReportLayout report) {
+            this(classes, tenants, zone, rank, instances, aside, originKind, subscribe, maxAttempts,
+                    mayDuplicate, mayCancel, retryAfter, maxRetryAfter, drainGrace, askWithin, coldFrom,
+                    warmWithin, tipMultiple, fallTime, overShareWorth, keyQuiet, budget, report,
+                    HEDGE_QUANTILE);
+        }
     }
 
     /** An entry of the server list. */
--- a/src/main/java/eiderscale/Hedging.java
+++ b/src/main/java/eiderscale/Hedging.java
@@ -7,7 +7,6 @@
 
 /** When a copy of a slow read goes out, a quantile of recent served latencies, and what may be repeated. */
 final class Hedging {
-    private static final double QUANTILE = 0.95;
     private static final double COMPRESSION = 50;
     /** A digest begins anew after so many samples, or so long once it holds the minimum sample. */
     private static final int AGE_SAMPLES = 512;
@@ -21,12 +20,15 @@
     private long begun;
     private int samples;
     private long quantile;
+    private final double share;
     /** The sixth rule, with the times of requests taken and of further attempts. */
     private final Budget budget;
     private final Deque<Long> taken = new ArrayDeque<>();
     private final Deque<Long> further = new ArrayDeque<>();
 
-    Hedging(Budget budget) {
+    /** {@code share}: the quantile that is the delay. */
+    Hedging(Budget budget, double share) {
+        this.share = share;
         this.budget = budget != null ? budget : OWN_BUDGET;
     }
 
@@ -61,7 +63,7 @@
         digest.add(latency);
         samples++;
         if (samples >= MIN_SAMPLES && samples % REFRESH_SAMPLES == 0) {
-            quantile = (long) digest.quantile(QUANTILE);
+            quantile = (long) digest.quantile(share);
         }
         if (samples >= AGE_SAMPLES || now - begun > AGE_NS && samples >= MIN_SAMPLES) {
             digest = new MergingDigest(COMPRESSION);
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -109,7 +109,7 @@
         this.health = new HostHealth(settings, seed);
         this.candidates = new Candidates(health);
         this.admission = new Admission(settings);
-        this.hedging = new Hedging(settings.budget());
+        this.hedging = new Hedging(settings.budget(), settings.hedgeQuantile());
         this.order = new KeyOrder<>(settings.keyQuiet());
         this.mostLate = (long) (LATE * settings.classes().stream().mapToLong(admission::slowAfter).min()
                 .orElse(0));
@@ -188,7 +188,8 @@
         }
         send(now, flight, host);
         long delay = hedging.delay();
-        if (delay >= 0 && now + delay < flight.usefulUntil && !flight.request.write() && !flight.missed) {
+        if (delay >= 0 && now + delay < flight.usefulUntil && !flight.request.write() && !flight.missed
+                && flight.requestClass.hedge()) {
             flight.hedgeAt = now + Math.max(1, delay);
         }
         flight.slowAt = now + admission.slowAfter(flight.requestClass);
@@ -452,6 +453,9 @@
         }
         RequestClass c = flight.requestClass;
         Attempt first = flight.mayHaveRun();
+        if (first != null && !(flight.pending > 0 ? c.hedge() : c.retry())) {
+            return false;
+        }
         return first == null || c.effect() == Effect.RETRYABLE
                 || c.effect() == Effect.DEDUP && now - first.sentAt <= c.window() * WINDOW_SAFETY
                 && (c.group() != Group.ZONE || first.host.zone == host.zone)
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -6,13 +6,18 @@
 import eiderscale.Api;
 import eiderscale.Api.Reason;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,7 +27,7 @@
  * <p>All of it runs on the one event loop. Events reach the module one at a time: an outcome that an action
  * causes at once is queued and handed over when the module has returned, as the module is not reentrant.
  */
-final class Balancer implements Api.Actions, HostPool.Listener, Discovery.Listener {
+final class Balancer implements HostPool.Listener, Discovery.Listener {
     /**
      * A client counts its wait from when it sent, not from when the request was read here, and the answer
      * has its way to go as well: this much is taken off, so that a final answer is there before it is overdue.
@@ -39,10 +44,16 @@
     private record Event(Exchange exchange, Runnable action) {
     }
 
-    private final Site site;
+    /** Takes new requests. */
+    private Generation current;
+    /** All that still have requests, and the current one. */
+    private final List<Generation> generations = new ArrayList<>();
+    /** The hosts as the lists have told them, for a module that starts later. */
+    private final Map<Long, Catalog.Member> members = new LinkedHashMap<>();
+    private final Module maker;
+    private final SplittableRandom seeds;
     private final EventLoop loop;
     private final Counters counters;
-    private final Api.Events router;
     private final HostPool pool;
     private final Discovery discovery;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
@@ -52,18 +63,24 @@
     private final Queue<Event> events = new ArrayDeque<>();
     private boolean inModule;
     private long lastId;
+    private long lastOwnId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
              int mostConnections) {
         this.budget = budget;
-        this.site = config.site();
         this.loop = loop;
         this.counters = counters;
-        this.pool = new HostPool(site, loop, counters, mostConnections, this);
+        this.pool = new HostPool(config.site(), loop, counters, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
-        this.router = module.create(site.settings, config.seed(), this);
-        Catalog known = config.known();
-        onList(Api.ListMode.CACHED, known.members());
+        this.maker = module;
+        this.seeds = new SplittableRandom(config.seed());
+        begin(config.site(), config.seed());
+        onList(Api.ListMode.CACHED, config.known().members());
+    }
+
+    private void begin(Site site, long seed) {
+        current = new Generation(this, site, maker, seed);
+        generations.add(current);
     }
 
     // What comes in.
@@ -78,21 +95,22 @@
         }
         long now = Clock.now();
         long deadline = now + command.waitMs * Clock.MILLISECOND - WAYS;
-        Exchange exchange = new Exchange(++lastId, command, deadline, client);
+        Exchange exchange = new Exchange(++lastId, command, current, deadline, client);
         counters.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open() >= site.maxOpen || !budget.take(bytes(command))) {
+        if (open() >= current.site.maxOpen || !budget.take(bytes(command))) {
             counters.localRefusals++;
             answerRefused(exchange, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
+        current.exchanges++;
         openIds.add(command.opaque);
         exchange.lastCall = loop.schedule(() -> lastCall(exchange), deadline + LAST_CALL - now,
                 TimeUnit.NANOSECONDS);
         Api.Request request = new Api.Request(exchange.id, command.requestClass, command.tenant,
                 command.keyNumber(), deadline, command.work, command.repeat, command.write);
-        post(exchange, () -> router.onRequest(Clock.now(), request));
+        post(exchange, () -> exchange.generation.module.onRequest(Clock.now(), request));
         return exchange;
     }
 
@@ -104,15 +122,35 @@
     void clientGone(Exchange exchange) {
         if (close(exchange)) {
             counters.clientsGone++;
-            post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
+            post(exchange, () -> exchange.generation.module.onClientGone(Clock.now(), exchange.id));
         }
     }
 
     @Override
-    public void onList(Api.ListMode mode, List<Catalog.Member> members) {
-        pool.update(mode, members);
-        List<Api.Server> servers = members.stream().map(Catalog.Member::server).toList();
-        post(null, () -> router.onList(Clock.now(), mode, servers));
+    public void onList(Api.ListMode mode, List<Catalog.Member> told) {
+        pool.update(mode, told);
+        remember(mode, told);
+        List<Api.Server> servers = servers(told);
+        for (Generation generation : List.copyOf(generations)) {
+            post(null, () -> generation.module.onList(Clock.now(), mode, servers));
+        }
+    }
+
+    private static List<Api.Server> servers(Collection<Catalog.Member> told) {
+        return told.stream().map(Catalog.Member::server).toList();
+    }
+
+    private void remember(Api.ListMode mode, List<Catalog.Member> told) {
+        if (mode == Api.ListMode.FULL || mode == Api.ListMode.CACHED) {
+            members.clear();
+        }
+        for (Catalog.Member member : told) {
+            if (member.server().state() == Api.State.GONE) {
+                members.remove(member.server().id());
+            } else {
+                members.put(member.server().id(), member);
+            }
+        }
     }
 
     @Override
@@ -120,13 +158,42 @@
         end(attempt, reason, answer);
     }
 
-    /** The configuration was replaced: of what it tells, where discovery is may change under way. */
-    void reload(Config fresh) {
-        discovery.moveTo(fresh.discovery());
+    /** Discovery is to be found elsewhere. */
+    void moveDiscovery(InetSocketAddress address) {
+        discovery.moveTo(address);
+    }
+
+    /**
+     * Serves by other settings from here on. What is open goes on under the old ones until it is answered; what
+     * the old module had learnt of the hosts (breakers, latencies, slow starts' budgets) is learnt anew.
+     */
+    void renew(Site fresh) {
+        pool.renew(fresh);
+        discovery.renew(fresh);
+        begin(fresh, seeds.nextLong());
+        Generation made = current;
+        List<Api.Server> servers = servers(members.values());
+        post(null, () -> made.module.onList(Clock.now(), Api.ListMode.CACHED, servers));
+        dropIdle();
+    }
+
+    private void dropIdle() {
+        generations.removeIf(generation -> generation != current && generation.exchanges == 0);
     }
 
     Site site() {
-        return site;
+        return current.site;
+    }
+
+    /** An id for a command whose client gave none. */
+    String ownId() {
+        return Command.OWN_ID + Long.toString(++lastOwnId, Character.MAX_RADIX);
+    }
+
+    /** The longest that any client of an open request or of one to come may wait, in nanoseconds. */
+    long longestDeadline() {
+        return generations.stream().flatMap(generation -> generation.site.settings.classes().stream())
+                .mapToLong(Api.RequestClass::deadline).max().orElse(0);
     }
 
     /** The number of requests that are owed an answer. */
@@ -178,6 +245,9 @@
     private void forget(Exchange exchange) {
         if (exchange.over && exchange.pending == 0 && exchanges.remove(exchange.id) != null) {
             budget.giveBack(bytes(exchange.command));
+            if (--exchange.generation.exchanges == 0) {
+                dropIdle();
+            }
         }
     }
 
@@ -201,7 +271,7 @@
             } else {
                 answerRefused(exchange, 0);
             }
-            post(exchange, () -> router.onClientGone(Clock.now(), exchange.id));
+            post(exchange, () -> exchange.generation.module.onClientGone(Clock.now(), exchange.id));
         }
     }
 
@@ -228,21 +298,15 @@
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
                 counters.served++;
-                answer(exchange, answerLine(exchange.command, answer), answer.data());
+                answer(exchange, pool.protocol().answerLine(exchange.command, answer), answer.data());
             }
-            float[] report = site.report(answer == null ? null : answer.flag(1, 'L'));
+            float[] report = exchange.generation.site.report(answer == null ? null : answer.flag(1, 'L'));
             long now = Clock.now();
-            router.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
+            exchange.generation.module.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
                     exchange.over, report));
         });
     }
 
-    /** What a host answered, without what it tells balancers only. */
-    private static String answerLine(Command command, MetaFrame answer) {
-        return command.write ? "HD O" + command.opaque + " c" + answer.flag(1, 'c') + "\r\n"
-                : "VA " + answer.data().length + " O" + command.opaque + "\r\n";
-    }
-
     private void answerRefused(Exchange exchange, long retryAfterMs) {
         counters.refused++;
         answer(exchange, retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n",
@@ -273,8 +337,7 @@
 
     // What the module asks for, carried out in its order.
 
-    @Override
-    public void send(long request, long server, long cutAt) {
+    void send(long request, long server, long cutAt) {
         Exchange exchange = exchanges.get(request);
         if (exchange == null) {
             counters.noise("send for a request that is over: " + request);
@@ -284,8 +347,9 @@
         long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
         Attempt attempt = new Attempt(exchange, exchange.attempts.size(), now, cut);
         exchange.attempts.add(attempt);
+        counters.copies += exchange.pending > 0 ? 1 : 0;
         exchange.pending++;
-        boolean tooMany = exchange.attempts.size() > site.settings.maxAttempts();
+        boolean tooMany = exchange.attempts.size() > exchange.generation.site.settings.maxAttempts();
         if (exchange.over || tooMany || now >= exchange.deadline) {
             end(attempt, Reason.MOOT, null);
         } else if (now >= cut) {
@@ -302,47 +366,42 @@
         drop(attempt, attempt.written() ? Reason.TIMEOUT : Reason.CONNECT_FAILED);
     }
 
-    @Override
-    public void cancel(long request, int attempt) {
+    void cancel(long request, int attempt) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && attempt < exchange.attempts.size()) {
             drop(exchange.attempts.get(attempt), Reason.CANCELLED);
         }
     }
 
-    @Override
-    public void refuse(long request, long retryAfter) {
+    void refuse(long request, long retryAfter) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
-            long most = site.settings.retryAfter() ? Math.min(retryAfter, site.settings.maxRetryAfter()) : 0;
+            Api.Settings settings = exchange.generation.site.settings;
+            long most = settings.retryAfter() ? Math.min(retryAfter, settings.maxRetryAfter()) : 0;
             answerRefused(exchange, (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND);
         }
     }
 
-    @Override
-    public void fail(long request) {
+    void fail(long request) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
             answerFailed(exchange);
         }
     }
 
-    @Override
-    public void wakeAt(long moment, int token) {
+    void wakeAt(Generation generation, long moment, int token) {
         long delay = Math.max(0, moment - Clock.now());
         loop.schedule(() -> {
             counters.timer(Clock.now() - moment);
-            post(null, () -> router.onTimer(Clock.now(), token));
+            post(null, () -> generation.module.onTimer(Clock.now(), token));
         }, delay, TimeUnit.NANOSECONDS);
     }
 
-    @Override
-    public void closeIdle(long server) {
+    void closeIdle(long server) {
         pool.closeIdle(server);
     }
 
-    @Override
-    public void subscribe() {
+    void subscribe() {
         discovery.subscribe();
     }
 }
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.flow.FlowControlHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -70,7 +71,7 @@
     private final Set<Connection> doubtful = new LinkedHashSet<>();
     /** Those that came while there was no room, and have not been given any yet. */
     private final Queue<Connection> waiting = new ArrayDeque<>();
-    private Channel server;
+    private final List<Channel> servers = new ArrayList<>();
     private long unread;
     private boolean closing;
 
@@ -85,6 +86,7 @@
         this.mostSurplus = mostSurplus;
     }
 
+    /** Begins to listen at one more address. */
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -106,14 +108,14 @@
                                 new Connection(fresh, decoder));
                     }
                 }).bind(address);
-        server = bound.channel();
+        servers.add(bound.channel());
         return bound;
     }
 
     /** Takes no more connections, and closes those there are as they fall idle. */
     void close() {
         closing = true;
-        server.close();
+        servers.forEach(Channel::close);
         for (Connection connection : List.copyOf(connections)) {
             connection.adjust();
         }
@@ -363,7 +365,7 @@
                 return;
             }
             try {
-                Command command = new Command(frame, balancer.site());
+                Command command = new Command(frame, balancer.site(), balancer::ownId);
                 slot.exchange = balancer.take(command, slot);
                 spoke = true;
             } catch (Command.Malformed e) {
--- a/src/main/java/eiderscale/net/Command.java
+++ b/src/main/java/eiderscale/net/Command.java
@@ -1,18 +1,23 @@
 package eiderscale.net;
 
 import eiderscale.config.Catalog;
+import eiderscale.config.Routes;
 import eiderscale.config.Site;
 import eiderscale.Api;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 
 /** A client's read or write, checked, with what is needed to pass it on in the same words. */
 final class Command {
     private static final int MOST_KEY = 250;
     private static final int MOST_OPAQUE = 32;
     private static final int HEX_KEY = 16;
+    /** Begins the ids that balancers make up. */
+    static final char OWN_ID = '~';
+    private static final int MOST_FLAG = 11;
     /** A longer guess at the work is cut to this, in microseconds: no client means it. */
     private static final long MOST_WORK = 3_600_000_000L;
 
@@ -35,10 +40,17 @@
     final boolean repeat;
     /** Expected work in nanoseconds, 0 if not told. */
     final long work;
+    /** Flags that go to memcached and back unread, each with a blank before it. */
+    final String extra;
     private final String[] figures;
+    /** Whether the client gave an id and is told it again; hosts get one of our own otherwise. */
+    private final boolean named;
+    /** The name of the class that a route picked; null where the client's own word counts. */
+    private final String className;
     private int waitAt = -1;
 
-    Command(MetaFrame frame, Site site) throws Malformed {
+    /** {@code own}: makes the id of a command whose client gave none. */
+    Command(MetaFrame frame, Site site, Supplier<String> own) throws Malformed {
         write = frame.is(0, "ms");
         value = frame.data();
         if (frame.words().size() < 2 || frame.words().get(1).length() > MOST_KEY) {
@@ -49,6 +61,7 @@
         String id = null;
         String list = null;
         boolean wantsValue = false;
+        StringBuilder others = new StringBuilder();
         for (String word : frame.words().subList(flags, frame.words().size())) {
             // Said twice, a flag could be passed on in a form that no client sent: it counts as unknown.
             if (word.charAt(0) == 'O' && id == null) {
@@ -57,23 +70,31 @@
                 list = word.substring(1);
             } else if (word.equals("v") && !wantsValue) {
                 wantsValue = true;
+            } else if (site.hostKind == Site.HostKind.MEMCACHED && passes(word, others)) {
+                others.append(' ').append(word);
             } else {
                 throw new Malformed("unknown flag");
             }
         }
-        if (id == null || id.isEmpty() || id.length() > MOST_OPAQUE) {
+        boolean lenient = site.routes != null;
+        if (id == null && !lenient || id != null && (id.isEmpty() || id.length() > MOST_OPAQUE
+                || lenient && id.charAt(0) == OWN_ID)) {
             throw new Malformed("bad or missing opaque");
         }
         if (wantsValue == write) {
             throw new Malformed(write ? "ms takes no v" : "mg needs v");
         }
-        opaque = id;
+        named = id != null;
+        opaque = named ? id : own.get();
+        extra = others.toString();
         figures = list == null ? new String[0] : list.split(",", -1);
-        requestClass = number(site.requestClass(figure("c")), "class");
+        requestClass = lenient ? route(site.routes) : number(site.requestClass(figure("c")), "class");
+        className = lenient ? site.routes.name(requestClass) : null;
         tenant = number(site.tenant(figure("t")), "tenant");
         Api.RequestClass c = site.settings.classes().get(requestClass);
+        long longest = c.deadline() / Clock.MILLISECOND;
         // No client of this class waits longer: an hour asked for would hold its place for an hour.
-        waitMs = Math.min(c.deadline() / Clock.MILLISECOND, whole("d", -1));
+        waitMs = Math.min(longest, whole("d", lenient ? longest : -1));
         if (waitMs < 0) {
             throw new Malformed("missing d");
         }
@@ -96,6 +117,22 @@
         }
     }
 
+    private int route(Routes routes) throws Malformed {
+        try {
+            return routes.choose(write, key, figure("c"));
+        } catch (Routes.Unroutable e) {
+            throw new Malformed(e.getMessage());
+        }
+    }
+
+    /** Whether a flag may go on: each letter once, and none that makes a read change anything. */
+    private boolean passes(String word, StringBuilder others) {
+        boolean known = write ? "TF".indexOf(word.charAt(0)) >= 0 && word.length() > 1 && word.length() <= MOST_FLAG
+                : "fts".indexOf(word.charAt(0)) >= 0 && word.length() == 1;
+        return known && others.indexOf(" " + word.charAt(0)) < 0
+                && word.chars().skip(1).allMatch(c -> c >= '0' && c <= '9');
+    }
+
     private static int number(Integer number, String what) throws Malformed {
         if (number == null) {
             throw new Malformed("unknown " + what);
@@ -138,13 +175,32 @@
         return Catalog.hash(key);
     }
 
-    /** The bytes for a cache host: all as it came, but for how long is left to wait. */
-    ByteBuf encode(ByteBufAllocator alloc, long leftMs) {
+    /** The beginning of a line for a host: the command, its key and the id that the host knows it by. */
+    String head() {
+        return (write ? "ms " + key + " " + value.length : "mg " + key + " v") + " O" + opaque;
+    }
+
+    /** The list of figures for a host: as it came, but for how long is left to wait and what a route picked. */
+    String figures(long leftMs) {
         String[] list = figures.clone();
-        list[waitAt] = "d=" + leftMs;
-        String line = (write ? "ms " + key + " " + value.length : "mg " + key + " v") + " O" + opaque
-                + " P" + String.join(",", list) + "\r\n";
-        return line(alloc, line, value);
+        if (waitAt >= 0) {
+            list[waitAt] = "d=" + leftMs;
+        }
+        String line = String.join(",", list);
+        if (className == null) {
+            return line;
+        }
+        if (waitAt < 0) {
+            line += (line.isEmpty() ? "d=" : ",d=") + leftMs;
+        }
+        String told = figure("c");
+        return told == null ? line + ",c=" + className
+                : told.equals(className) ? line : ("," + line).replace(",c=" + told, ",c=" + className).substring(1);
+    }
+
+    /** The id as its client is told it, with a blank before it; empty for a client that gave none. */
+    String echo() {
+        return named ? " O" + opaque : "";
     }
 
     /** A line and, behind it, a data block if there is one. */
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -21,6 +21,8 @@
     long malformed;
     long lastCalls;
     long connects;
+    /** Attempts that began while another of the same request was out. */
+    long copies;
     long localRefusals;
     /** Clients' connections closed for room, for silence or halves, for long idling, and for want of any room. */
     long evicted;
@@ -70,6 +72,10 @@
         }
     }
 
+    Totals totals() {
+        return new Totals(taken, served, refused, failed, clientsGone, copies, malformed);
+    }
+
     static void log(String line) {
         System.err.println(PREFIX + line);
     }
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -48,7 +48,7 @@
     private static final int MOST_BYTES = 4 * 1024 * 1024;
 
     private InetSocketAddress address;
-    private final Site site;
+    private Site site;
     private final EventLoop loop;
     private final Listener listener;
     private long rev;
@@ -65,9 +65,14 @@
         this.rev = config.known().rev();
     }
 
-    /** Begins a watch from the last known version, unless one is on. */
+    /** Names in lists are numbered by another site from here on. */
+    void renew(Site fresh) {
+        site = fresh;
+    }
+
+    /** Begins a watch from the last known version, unless one is on or there is nobody to ask. */
     void subscribe() {
-        if (current == null) {
+        if (current == null && address != null) {
             current = new Call();
             current.start();
         }
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -13,6 +13,8 @@
 
     final long id;
     final Command command;
+    /** The settings and the module that it came under. */
+    final Generation generation;
     /** The latest moment for a final answer, on this program's clock. */
     final long deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -24,9 +26,10 @@
     boolean mayHaveRun;
     Future<?> lastCall;
 
-    Exchange(long id, Command command, long deadline, Client client) {
+    Exchange(long id, Command command, Generation generation, long deadline, Client client) {
         this.id = id;
         this.command = command;
+        this.generation = generation;
         this.deadline = deadline;
         this.client = client;
     }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -51,7 +51,8 @@
         final Deque<Link> idle = new ArrayDeque<>();
     }
 
-    private final Site site;
+    private Site site;
+    private final HostProtocol protocol;
     private final Counters counters;
     private final int mostLinks;
     private final Listener listener;
@@ -65,13 +66,25 @@
 
     HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
         this.site = site;
+        this.protocol = site.hostKind == Site.HostKind.MEMCACHED ? new MemcachedProtocol()
+                : new PlatformProtocol();
         this.counters = counters;
         this.mostLinks = mostLinks;
         this.listener = listener;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
+                .option(ChannelOption.TCP_NODELAY, true);
+        renew(site);
+    }
+
+    /** Goes by other figures from here on; what kind its hosts are stays. */
+    void renew(Site fresh) {
+        site = fresh;
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
+    }
+
+    HostProtocol protocol() {
+        return protocol;
     }
 
     /** Applies a list before the module sees it, so that every host it may name is known here. */
@@ -252,7 +265,7 @@
                 return;
             }
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
-            ByteBuf bytes = attempt.exchange.command.encode(channel.alloc(), leftMs);
+            ByteBuf bytes = protocol.encode(attempt.exchange.command, channel.alloc(), leftMs);
             sent = channel.writeAndFlush(bytes);
         }
 
@@ -263,7 +276,7 @@
                 retire();
                 return;
             }
-            Reason reason = judge(attempt.exchange.command, answer);
+            Reason reason = protocol.judge(attempt.exchange.command, answer);
             boolean garbage = reason == null;
             if (garbage) {
                 counters.noise("a cache host broke the protocol: "
@@ -290,20 +303,6 @@
             }
         }
 
-        /** What an answer means; null for what the protocol does not allow. */
-        private static Reason judge(Command command, MetaFrame answer) {
-            if (answer.fault() != null) {
-                return null;
-            }
-            if (answer.is(0, "SERVER_ERROR")) {
-                return answer.is(1, "busy") ? Reason.REJECTED : answer.is(1, "failed") ? Reason.ERROR : null;
-            }
-            int flags = answer.is(0, "VA") ? 2 : 1;
-            boolean kind = command.write ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
-                    : answer.is(0, "VA");
-            return kind && command.opaque.equals(answer.flag(flags, 'O')) ? Reason.OK : null;
-        }
-
         private void finish(Reason reason, MetaFrame answer, boolean close) {
             Attempt ended = attempt;
             release();
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -3,16 +3,19 @@
 import eiderscale.config.Catalog;
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
+import eiderscale.config.Site;
 import eiderscale.Api;
+import eiderscale.Router;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.Promise;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** One balancer, put together: everything it has lives on one event loop. */
-final class Node {
+public final class Node {
     /** After a stop is asked for, clients go on coming for a while; they are served. */
     private static final long ACCEPT_ON_MS = 600;
     private static final long LOOK_MS = 10;
@@ -38,7 +41,11 @@
     private final ClientServer server;
     private int sweeps;
 
-    /** To be called on the loop, as all of this class. */
+    /** To be called on the loop, as all of this class; throws nothing that {@code config} does not cause. */
+    public Node(Config config, EventLoop loop) {
+        this(config, loop, Router::new);
+    }
+
     Node(Config config, EventLoop loop, Balancer.Module module) {
         this.config = config;
         this.loop = loop;
@@ -51,10 +58,15 @@
         server = new ClientServer(balancer, loop, counters, budget, clients, surplus);
     }
 
-    /** Begins to listen: from then on it is ready to serve. */
-    ChannelFuture start() {
+    /** Begins to listen at its first address: from then on it is ready to serve. */
+    public ChannelFuture start() {
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return server.listen(config.listeners().get(0));
+        return listen(config.listeners().get(0));
+    }
+
+    /** Begins to listen at one of its further addresses. */
+    public ChannelFuture listen(InetSocketAddress address) {
+        return server.listen(address);
     }
 
     private void sweep() {
@@ -74,25 +86,41 @@
     }
 
     /** A list of hosts from elsewhere than discovery. */
-    void onList(Api.ListMode mode, List<Catalog.Member> members) {
+    public void onList(Api.ListMode mode, List<Catalog.Member> members) {
         balancer.onList(mode, members);
     }
 
     /** Reads the configuration again; one that cannot be used changes nothing. */
     void reload(String path) {
         try {
-            balancer.reload(ConfigFile.read(path));
+            balancer.moveDiscovery(ConfigFile.read(path).discovery());
         } catch (ConfigException e) {
             Counters.log("the old configuration stays: " + e.getMessage());
         }
     }
 
+    /**
+     * Serves new requests by another site's settings. Its kind of hosts and its names of zones must be those of
+     * the present one: they cannot change under way.
+     */
+    public void renew(Site site) {
+        balancer.renew(site);
+    }
+
+    /** Follows discovery to another address. */
+    public void moveDiscovery(InetSocketAddress address) {
+        balancer.moveDiscovery(address);
+    }
+
+    /** What has been counted since the start. */
+    public Totals totals() {
+        return counters.totals();
+    }
+
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
-    Future<Void> stop() {
+    public Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
-        long longest = config.site().settings.classes().stream().mapToLong(Api.RequestClass::deadline).max()
-                .orElse(0);
-        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + longest;
+        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + balancer.longestDeadline();
         loop.schedule(() -> {
             server.close();
             await(done, end);
--- /dev/null
+++ b/src/main/java/eiderscale/net/PlatformProtocol.java
@@ -0,0 +1,35 @@
+package eiderscale.net;
+
+import eiderscale.Api.Reason;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+
+/** Hosts that read through and answer for themselves: they get commands in the words of the clients. */
+final class PlatformProtocol implements HostProtocol {
+    @Override
+    public ByteBuf encode(Command command, ByteBufAllocator alloc, long leftMs) {
+        String line = command.head() + " P" + command.figures(leftMs) + "\r\n";
+        return Command.line(alloc, line, command.value);
+    }
+
+    @Override
+    public Reason judge(Command command, MetaFrame answer) {
+        if (answer.fault() != null) {
+            return null;
+        }
+        if (answer.is(0, "SERVER_ERROR")) {
+            return answer.is(1, "busy") ? Reason.REJECTED : answer.is(1, "failed") ? Reason.ERROR : null;
+        }
+        int flags = answer.is(0, "VA") ? 2 : 1;
+        boolean kind = command.write ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
+                : answer.is(0, "VA");
+        return kind && command.opaque.equals(answer.flag(flags, 'O')) ? Reason.OK : null;
+    }
+
+    /** Without what hosts tell balancers only. */
+    @Override
+    public String answerLine(Command command, MetaFrame answer) {
+        return command.write ? "HD" + command.echo() + " c" + answer.flag(1, 'c') + "\r\n"
+                : "VA " + answer.data().length + command.echo() + "\r\n";
+    }
+}
--- a/src/test/java/eiderscale/Bed.java
+++ b/src/test/java/eiderscale/Bed.java
@@ -214,13 +214,16 @@
         List<Api.Tenant> tenants = List.of();
         double overShareWorth = 1;
         boolean ordered;
+        boolean retry = true;
+        boolean hedge = true;
+        double quantile = Api.Settings.HEDGE_QUANTILE;
         Api.Budget budget;
         Api.ReportLayout report = new Api.ReportLayout(-1, -1, -1);
 
         Api.Settings build() {
             List<Api.RequestClass> classes = List.of(
                     new Api.RequestClass(1000 * MS, 0, 4000 * MS, 3, lateWorth, Api.Effect.RETRYABLE,
-                            Api.Group.ALL, 0, false, false),
+                            Api.Group.ALL, 0, false, false, retry, hedge),
                     new Api.RequestClass(1000 * MS, 0, 4000 * MS, 9, lateWorth, Api.Effect.DEDUP, group,
                             500 * MS, false, ordered),
                     new Api.RequestClass(1000 * MS, 0, 4000 * MS, 5, lateWorth, Api.Effect.FRAGILE,
@@ -228,7 +231,7 @@
             return new Api.Settings(classes, tenants, 0, rank, instances, aside, aside ? 2 : -1, subscribe,
                     maxAttempts, mayDuplicate, true, true, 2000 * MS, 250 * MS, 10_000 * MS,
                     0.2, 10_000 * MS, 4, 1000 * MS, overShareWorth,
-                    50 * MS, budget, report);
+                    50 * MS, budget, report, quantile);
         }
     }
 }
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -66,6 +66,45 @@
         assertNull(bed.outcome(1, 0, Reason.CANCELLED));
     }
 
+    @Test
+    void aClassThatIsNotHedgedGetsNoCopyAndIsStillTriedAgain() {
+        Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
+        settings.hedge = false;
+        Bed bed = new Bed(settings).servers(4);
+        bed.warmDigest(40);
+        bed.request(1, Bed.READ, 5);
+        bed.pass(900);
+        assertEquals(1, bed.sends.size());
+        assertNotNull(bed.outcome(1, 0, Reason.RESET));
+    }
+
+    @Test
+    void aClassThatIsNotRetriedIsSentAgainOnlyWhereNothingRan() {
+        Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
+        settings.retry = false;
+        Bed bed = new Bed(settings).servers(4);
+        bed.request(1, Bed.READ, 5);
+        assertNotNull(bed.outcome(1, 0, Reason.CONNECT_FAILED));
+        assertNull(bed.outcome(1, 1, Reason.RESET));
+        assertTrue(bed.refused(1), "a repeat by the client does no harm");
+    }
+
+    @Test
+    void theStatedQuantileIsTheDelayOfACopy() {
+        Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
+        settings.quantile = 0.1;
+        Bed bed = new Bed(settings).servers(4);
+        for (int i = 0; i < 40; i++) {
+            bed.request(100 + i, Bed.READ, 100 + i);
+            bed.pass(10 + i);
+            bed.outcome(100 + i, 0, Reason.OK);
+        }
+        int before = bed.sends.size();
+        bed.request(1, Bed.READ, 5);
+        bed.pass(20);
+        assertEquals(before + 2, bed.sends.size(), "after a tenth of the latencies, not after nearly all");
+    }
+
     @Test
     void writesGetNoCopy() {
         Bed bed = bed().servers(4);
