An application's file, the sidecar that serves it, and the command stairshelf

Until now the program started from a platform's JSON only: nobody who cloned the repository could run it, and a sidecar's configuration, edited by hand, had nothing that checks it. One description of all keys now makes the reader (TOML, with positions), the commented writer, the comparison and the JSON Schema; checks report all faults at once, and ResendRule states once what keeps an unsafe request from being resent by any combination of settings. The command serves (sidecar), writes, checks, shows and compares files, and runs a whole fleet on loopback (demo), with stand-in hosts, origin, discovery and clients that tests are to share.

--- /dev/null
+++ b/src/main/java/eiderscale/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command {@code stairshelf} and its subcommands. */
+package eiderscale.cli;
--- a/src/main/java/eiderscale/config/Routes.java
+++ b/src/main/java/eiderscale/config/Routes.java
@@ -1,5 +1,6 @@
 package eiderscale.config;
 
+import eiderscale.Api;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,8 +45,8 @@
         }
     }
 
-    /** A class: the name that clients and hosts know it by, and what it is for. */
-    public record Named(String name, Operation operation) {
+    /** A class: the name that clients and hosts know it by, what it is for, and how often it may take effect. */
+    public record Named(String name, Operation operation, Api.Effect effect) {
     }
 
     /** A request that no class is for. */
@@ -99,6 +100,10 @@
         if (clientClass == ClientClass.CHECKED && hinted != null && !hinted.equals(chosen)) {
             throw new Unroutable("class does not match the key's route");
         }
+        if (hinted != null && classes.get(hinted).effect().compareTo(classes.get(chosen).effect()) > 0) {
+            // The client knows its request for one that bears fewer repeats than the file does.
+            throw new Unroutable("class is stricter than the key's route");
+        }
         if (!classes.get(chosen).operation().covers(write)) {
             throw new Unroutable(write ? "class takes no writes" : "class takes no reads");
         }
--- a/src/main/java/eiderscale/config/Site.java
+++ b/src/main/java/eiderscale/config/Site.java
@@ -31,6 +31,7 @@
     public final HostKind hostKind;
     /** Picks the class of a request; null where clients name it and nothing else counts. */
     public final Routes routes;
+    private final String defaultTenant;
     private final Map<String, Integer> classes;
     private final Map<String, Integer> tenants;
     private final Map<String, Integer> zones;
@@ -45,6 +46,8 @@
         int maxOpen;
         HostKind hostKind = HostKind.META;
         Routes routes;
+        /** The tenant of clients that name none; null if they must. */
+        String defaultTenant;
         Map<String, Integer> classes = Map.of();
         Map<String, Integer> tenants = Map.of();
         Map<String, Integer> zones = Map.of();
@@ -55,6 +58,13 @@
             this.settings = settings;
         }
 
+        /** Numbers of zones and kinds that another site has given stay theirs. */
+        Builder keepNames(Site other) {
+            zones = other.zones;
+            kinds = other.kinds;
+            return this;
+        }
+
         Site build() {
             return new Site(this);
         }
@@ -67,6 +77,7 @@
         maxOpen = from.maxOpen;
         hostKind = from.hostKind;
         routes = from.routes;
+        defaultTenant = from.defaultTenant;
         classes = Map.copyOf(from.classes);
         tenants = Map.copyOf(from.tenants);
         zones = new HashMap<>(from.zones);
@@ -81,7 +92,8 @@
 
     /** The number of a tenant; where the site has none, every name is tenant 0. */
     public Integer tenant(String name) {
-        return tenants.isEmpty() ? Integer.valueOf(0) : name == null ? null : tenants.get(name);
+        String meant = name == null ? defaultTenant : name;
+        return tenants.isEmpty() ? Integer.valueOf(0) : meant == null ? null : tenants.get(meant);
     }
 
     /** A zone that the settings do not name gets a number of its own: it is nobody's own zone. */
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -185,6 +185,10 @@
         return current.site;
     }
 
+    int hosts() {
+        return members.size();
+    }
+
     /** An id for a command whose client gave none. */
     String ownId() {
         return Command.OWN_ID + Long.toString(++lastOwnId, Character.MAX_RADIX);
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -4,7 +4,7 @@
 import java.util.Locale;
 
 /** Sparse counts on standard error, to find causes by: how requests and attempts end, and how late we run. */
-final class Counters {
+public final class Counters {
     private static final String PREFIX = "stairshelf: ";
     /** Lines that peers may cause between two prints, and the length of one. */
     private static final int MOST_NOISES = 20;
@@ -76,7 +76,8 @@
         return new Totals(taken, served, refused, failed, clientsGone, copies, malformed);
     }
 
-    static void log(String line) {
+    /** Writes a line of the program's own to standard error. */
+    public static void log(String line) {
         System.err.println(PREFIX + line);
     }
 
--- a/src/main/java/eiderscale/net/Hangup.java
+++ b/src/main/java/eiderscale/net/Hangup.java
@@ -7,7 +7,7 @@
  * SIGHUP, which means that the configuration was replaced. Without a handler it ends the JVM, so this is
  * installed before anything else; signals that come before there is anything to reload are kept until then.
  */
-final class Hangup {
+public final class Hangup {
     private final CompletableFuture<Runnable> reload = new CompletableFuture<>();
 
     private Hangup() {
@@ -17,7 +17,7 @@
      * Signals are heard through {@code sun.misc.Signal} alone, the API of module jdk.unsupported. It is reached
      * by reflection, as the compiler's warning of it can be silenced by nothing else.
      */
-    static Hangup install() throws ReflectiveOperationException {
+    public static Hangup install() throws ReflectiveOperationException {
         Hangup hangup = new Hangup();
         Class<?> signal = Class.forName("sun.misc.Signal");
         Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -33,7 +33,7 @@
     }
 
     /** From now on each signal is handed on, on a thread of the JVM's own: {@code action} passes it to the loop. */
-    void serve(Runnable action) {
+    public void serve(Runnable action) {
         reload.complete(action);
     }
 }
--- a/src/main/java/eiderscale/net/LibraryLog.java
+++ b/src/main/java/eiderscale/net/LibraryLog.java
@@ -9,14 +9,15 @@
  * What libraries log, in short lines of our own. The JDK's own formatter opens a file of time zones at its first
  * line: where that line told of missing descriptors, this failed in turn and ended the event loop.
  */
-final class LibraryLog extends Handler {
+public final class LibraryLog extends Handler {
     private static final int MOST_LINES = 100;
     private int lines;
 
     private LibraryLog() {
     }
 
-    static void install() {
+    /** Takes the place of the handlers that the JDK installs. */
+    public static void install() {
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -3,6 +3,7 @@
 import eiderscale.config.Catalog;
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
+import eiderscale.config.DescriptorPlan;
 import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Router;
@@ -21,17 +22,6 @@
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 250;
     private static final int SWEEPS_PER_PRINT = 40;
-    /** Descriptors kept for the JVM itself (11 when idle), discovery and the listening socket, and for accepts. */
-    private static final int RESERVE = 48;
-    /**
-     * Clients hold a third of the descriptors at most for requests. At just that many, each connection that
-     * has closed and was not seen to yet costs a good one its place, so there are some more for these, for those
-     * that only say nothing, and for those that are kept just to be refused.
-     */
-    private static final int REQUESTS_PART = 3;
-    private static final int FURTHER_PART = 8;
-    private static final int SURPLUS_PART = 16;
-    private static final int MOST_SURPLUS = 16;
 
     private final Config config;
     private final EventLoop loop;
@@ -50,12 +40,9 @@
         this.config = config;
         this.loop = loop;
         budget = new Budget(config.heldBytes());
-        int all = config.sockets();
-        int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
-        int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
-        int links = Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus);
-        balancer = new Balancer(config, loop, counters, module, budget, links);
-        server = new ClientServer(balancer, loop, counters, budget, clients, surplus);
+        DescriptorPlan plan = DescriptorPlan.of(config.sockets());
+        balancer = new Balancer(config, loop, counters, module, budget, plan.links());
+        server = new ClientServer(balancer, loop, counters, budget, plan.clients(), plan.surplus());
     }
 
     /** Begins to listen at its first address: from then on it is ready to serve. */
@@ -112,6 +99,11 @@
         balancer.moveDiscovery(address);
     }
 
+    /** How many hosts the lists name at present. */
+    public int hosts() {
+        return balancer.hosts();
+    }
+
     /** What has been counted since the start. */
     public Totals totals() {
         return counters.totals();
--- /dev/null
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -0,0 +1,240 @@
+package eiderscale.sidecar;
+
+import eiderscale.Api;
+import eiderscale.config.AppFile;
+import eiderscale.config.Catalog;
+import eiderscale.config.Change;
+import eiderscale.config.Config;
+import eiderscale.config.ConfigException;
+import eiderscale.config.HostList;
+import eiderscale.config.Problem;
+import eiderscale.config.Site;
+import eiderscale.net.Counters;
+import eiderscale.net.Node;
+import eiderscale.net.Totals;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * One application's balancer, put together from its file. Files are read and checked on a thread of their own, one
+ * after the other, and what is good is handed to the loop, which owns the balancer.
+ */
+public final class Sidecar {
+    /** Lines that one bad file may put into the log. */
+    private static final int MOST_LINES = 20;
+
+    private final Path file;
+    private final EventLoop loop;
+    private final Consumer<String> log;
+    private final Node node;
+    private final List<InetSocketAddress> addresses;
+    private final ScheduledExecutorService files;
+    /** Files thread only, from here on. */
+    private AppFile current;
+    private final HostsFile hostsFile;
+    /** Loop only: the settings in service. */
+    private Site site;
+
+    private Sidecar(Path file, AppFile app, EventLoop loop, Consumer<String> log)
+            throws InterruptedException, ExecutionException {
+        this.file = file;
+        this.current = app;
+        this.loop = loop;
+        this.log = log;
+        HostsFile watched = app.hostsFile() == null ? null
+                : new HostsFile(file.toAbsolutePath().resolveSibling(app.hostsFile()), log);
+        HostList first = watched == null ? null : watched.first(app);
+        this.hostsFile = watched;
+        // Unlike on the platform there is no seed to be handed in: balancers that start together must differ.
+        long seed = System.nanoTime() ^ ProcessHandle.current().pid() << 32;
+        Config config = app.config(seed, null);
+        this.site = config.site();
+        this.node = loop.submit(() -> {
+            Node made = new Node(config, loop);
+            if (first != null) {
+                made.onList(Api.ListMode.FULL, first.members(site));
+            }
+            return made;
+        }).get();
+        this.addresses = listen(config);
+        this.files = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "files");
+            thread.setDaemon(true);
+            return thread;
+        });
+        if (watched != null) {
+            files.scheduleWithFixedDelay(this::look, app.hostsPoll(), app.hostsPoll(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /**
+     * Starts serving; returns when all its listeners are up. Throws {@link ConfigException} for a file that cannot
+     * be used, or that asks for more than this process has.
+     */
+    public static Sidecar start(Path file, EventLoop loop, Consumer<String> log)
+            throws InterruptedException, ExecutionException {
+        AppFile app = read(file);
+        if (!app.isGood()) {
+            throw new ConfigException(faults(file, app.problems()));
+        }
+        app.problems().forEach(problem -> log.accept(file + ":" + problem.text()));
+        Process.check(app);
+        return new Sidecar(file, app, loop, log);
+    }
+
+    /** Reads and checks a file; throws {@link ConfigException} if there is none to read. */
+    public static AppFile read(Path file) {
+        try {
+            return AppFile.read(Bytes.of(file), name -> {
+                try {
+                    return Files.isRegularFile(file.toAbsolutePath().resolveSibling(name));
+                } catch (java.nio.file.InvalidPathException e) {
+                    return false;
+                }
+            });
+        } catch (IOException e) {
+            throw new ConfigException(file + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    static String faults(Path file, List<Problem> problems) {
+        List<String> lines = new ArrayList<>();
+        for (Problem problem : problems) {
+            if (problem.severity() == Problem.Severity.ERROR) {
+                lines.add(file + ":" + problem.text());
+            }
+        }
+        int more = lines.size() - MOST_LINES;
+        if (more > 0) {
+            lines = new ArrayList<>(lines.subList(0, MOST_LINES));
+            lines.add(file + ": and " + more + " more");
+        }
+        return String.join("\n", lines);
+    }
+
+    private List<InetSocketAddress> listen(Config config) throws InterruptedException, ExecutionException {
+        List<InetSocketAddress> bound = new ArrayList<>();
+        for (int i = 0; i < config.listeners().size(); i++) {
+            InetSocketAddress address = config.listeners().get(i);
+            boolean isFirst = i == 0;
+            ChannelFuture up = loop.submit(() -> isFirst ? node.start() : node.listen(address)).get().await();
+            if (!up.isSuccess()) {
+                throw new ConfigException("cannot listen on " + address.getAddress().getHostAddress() + ":"
+                        + address.getPort() + ": " + up.cause().getMessage());
+            }
+            bound.add((InetSocketAddress) up.channel().localAddress());
+        }
+        return List.copyOf(bound);
+    }
+
+    /** Where it listens, in the order of the file. */
+    public List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
+    /** Reads the file again, as at SIGHUP; a bad one changes nothing. The future is done when it is in service. */
+    public java.util.concurrent.Future<?> reload() {
+        return files.submit(this::reloadNow);
+    }
+
+    private void reloadNow() {
+        try {
+            AppFile fresh = read(file);
+            String refusal = refusal(fresh);
+            if (refusal != null) {
+                log.accept("the old configuration stays: " + refusal);
+                return;
+            }
+            List<Change> changes = current.changes(fresh);
+            fresh.problems().forEach(problem -> log.accept(file + ":" + problem.text()));
+            loop.submit(() -> take(fresh, changes)).get();
+            current = fresh;
+            log.accept("reloaded " + file + ": " + changes.size() + " changes");
+        } catch (ConfigException e) {
+            log.accept("the old configuration stays: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | RuntimeException e) {
+            log.accept("the old configuration stays: unexpected " + e);
+        }
+    }
+
+    /** Why a file is not taken, or null. */
+    private String refusal(AppFile fresh) {
+        if (current.isMarked() && !fresh.isMarked()) {
+            return file + ": it lacks its last line, as if it were only half written";
+        }
+        if (!fresh.isGood()) {
+            return faults(file, fresh.problems());
+        }
+        List<String> restarts = current.changes(fresh).stream().filter(Change::restart).map(Change::key).toList();
+        return restarts.isEmpty() ? null : file + ": needs a restart for " + String.join(", ", restarts);
+    }
+
+    /** On the loop. */
+    private void take(AppFile fresh, List<Change> changes) {
+        Config config = fresh.config(0, site);
+        boolean lists = changes.stream().allMatch(change -> change.key().startsWith("pool.hosts.")
+                || change.key().equals("pool.discovery"));
+        if (!lists) {
+            site = config.site();
+            node.renew(site);
+        }
+        if (fresh.hasOwnHosts()) {
+            List<Catalog.Member> members = config.known().members();
+            node.onList(Api.ListMode.FULL, members);
+        }
+        if (config.discovery() != null) {
+            node.moveDiscovery(config.discovery());
+        }
+    }
+
+    /** Looks whether the file of hosts has changed. */
+    private void look() {
+        try {
+            HostList fresh = hostsFile.changed(current);
+            if (fresh != null) {
+                loop.submit(() -> node.onList(Api.ListMode.FULL, fresh.members(site))).get();
+                log.accept(fresh.size() + " hosts by the file of hosts");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | RuntimeException e) {
+            // An exception would end the schedule, and the hosts would never change again.
+            log.accept("the old hosts stay: unexpected " + e);
+        }
+    }
+
+    /** How many hosts it knows; none while discovery has yet to answer. */
+    public int hosts() throws InterruptedException, ExecutionException {
+        return loop.submit(node::hosts).get();
+    }
+
+    /** What has been counted since the start. */
+    public Totals totals() throws InterruptedException, ExecutionException {
+        return loop.submit(node::totals).get();
+    }
+
+    /** Stops in order; the future is done when every request has been answered and every client is gone. */
+    public Future<Void> stop() throws InterruptedException, ExecutionException {
+        files.shutdown();
+        return loop.submit(node::stop).get();
+    }
+
+    /** The usual log: standard error. */
+    public static Consumer<String> standardLog() {
+        return text -> text.lines().forEach(Counters::log);
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/standin/StandInHost.java
@@ -0,0 +1,251 @@
+package eiderscale.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+/**
+ * A cache host on loopback that reads through to a {@link StandInOrigin}: it serves the platform's meta commands,
+ * keeps what it fetched, drops repeats of keyed writes, and counts how often each command ran. What it does with each
+ * command is the word of a script, so that failures can be caused.
+ */
+public final class StandInHost implements AutoCloseable {
+    /** An injury and how long the host takes before it shows. */
+    public record Turn(Injury injury, long delayMs) {
+        /** Answers at once. */
+        public static final Turn SERVE = new Turn(Injury.NONE, 0);
+    }
+
+    private static final int MOST_LINE = 4096;
+    private static final int MOST_KEPT = 10_000;
+    private static final int MOST_COUNTED = 200_000;
+
+    private final EventLoop loop;
+    private final StandInOrigin origin;
+    private final ChannelGroup connections;
+    private final Map<String, String> kept = new LinkedHashMap<>();
+    private final Map<String, String> receipts = new LinkedHashMap<>();
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final AtomicLong commands = new AtomicLong();
+    private volatile Function<HostCommand, Turn> script = command -> Turn.SERVE;
+    private Channel server;
+    private InetSocketAddress address;
+    private long lastReceipt;
+
+    /** Starts on a free port of loopback. */
+    public StandInHost(EventLoop loop, StandInOrigin origin) throws InterruptedException {
+        this.loop = loop;
+        this.origin = origin;
+        this.connections = new DefaultChannelGroup(loop);
+        this.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        start();
+    }
+
+    /** Listens, after a stop at the port that it had before. */
+    public void start() throws InterruptedException {
+        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        connections.add(fresh);
+                        fresh.pipeline().addLast(new Conversation());
+                    }
+                }).bind(address).sync().channel();
+        address = (InetSocketAddress) server.localAddress();
+    }
+
+    /** Dies as a process does: connections are reset, new ones refused, and what it kept is gone. */
+    public void kill() {
+        server.close().syncUninterruptibly();
+        loop.submit(() -> {
+            for (Channel connection : connections) {
+                reset(connection);
+            }
+            kept.clear();
+        }).syncUninterruptibly();
+    }
+
+    private static void reset(Channel connection) {
+        connection.config().setOption(ChannelOption.SO_LINGER, 0);
+        connection.close();
+    }
+
+    /** From now on commands are treated so; called on the host's loop. */
+    public void script(Function<HostCommand, Turn> treatment) {
+        script = treatment;
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** {@code ADDRESS:PORT}. */
+    public String endpoint() {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    /** How often the command with this id ran here. */
+    public int runs(String id) {
+        return runs.getOrDefault(id, 0);
+    }
+
+    /** Ids of all commands that ran here, with how often. */
+    public Map<String, Integer> runs() {
+        return Map.copyOf(runs);
+    }
+
+    /** Commands that came, whatever became of them. */
+    public long commands() {
+        return commands.get();
+    }
+
+    @Override
+    public void close() {
+        if (server.isOpen()) {
+            kill();
+        }
+    }
+
+    /** One connection: commands are answered in order. */
+    private final class Conversation extends ByteToMessageDecoder {
+        private String line;
+        private int length;
+        /** When the answer before the next one is due, lest a quick one overtakes a slow one. */
+        private long free;
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+            if (line == null) {
+                int end = in.bytesBefore((byte) '\n');
+                if (end < 1) {
+                    if (in.readableBytes() > MOST_LINE) {
+                        ctx.close();
+                    }
+                    return;
+                }
+                line = in.readCharSequence(end, StandardCharsets.ISO_8859_1).toString().replace("\r", "");
+                in.skipBytes(1);
+                length = line.startsWith("ms ") ? length(line) : -1;
+            }
+            if (length >= 0 && in.readableBytes() < length + 2) {
+                return;
+            }
+            String data = "";
+            if (length >= 0) {
+                data = in.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
+                in.skipBytes(2);
+            }
+            String whole = line;
+            line = null;
+            take(ctx, whole, data);
+        }
+
+        private static int length(String line) {
+            String[] words = line.split(" ");
+            return words.length > 2 ? Integer.parseInt(words[2]) : 0;
+        }
+
+        private void take(ChannelHandlerContext ctx, String whole, String data) {
+            HostCommand command = HostCommand.of(whole, data);
+            if (command == null) {
+                write(ctx, whole.equals("mn") ? "MN\r\n" : "ERROR\r\n");
+                return;
+            }
+            commands.incrementAndGet();
+            Turn turn = script.apply(command);
+            if (turn.injury().runs && runs.size() < MOST_COUNTED) {
+                runs.merge(command.id(), 1, Integer::sum);
+            }
+            boolean fetch = !command.write() && !kept.containsKey(command.key());
+            String answer = turn.injury().runs ? run(command) : "SERVER_ERROR busy\r\n";
+            long now = System.nanoTime();
+            long due = Math.max(free, now + TimeUnit.MILLISECONDS.toNanos(turn.delayMs()
+                    + (turn.injury().runs && (fetch || command.write()) ? origin.latencyMs() : 0)));
+            free = due;
+            if (due <= now) {
+                show(ctx, turn.injury(), command, answer);
+            } else {
+                loop.schedule(() -> show(ctx, turn.injury(), command, answer), due - now, TimeUnit.NANOSECONDS);
+            }
+        }
+
+        private void show(ChannelHandlerContext ctx, Injury injury, HostCommand command, String answer) {
+            switch (injury) {
+                case NONE, TURN_AWAY -> write(ctx, answer);
+                case FAIL -> write(ctx, "SERVER_ERROR failed\r\n");
+                case DROP -> { }
+                case RESET -> reset(ctx.channel());
+                case SPOIL -> write(ctx, "VA 5 O" + command.id() + "x\u0001\r\n");
+                case CUT -> ctx.writeAndFlush(bytes(answer.substring(0, answer.length() / 2)))
+                        .addListener(ChannelFutureListener.CLOSE);
+                default -> throw new AssertionError(injury);
+            }
+        }
+
+        private void write(ChannelHandlerContext ctx, String answer) {
+            ctx.writeAndFlush(bytes(answer));
+        }
+
+        private static ByteBuf bytes(String text) {
+            return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** Carries a command out and words its answer. */
+    private String run(HostCommand command) {
+        if (!command.write()) {
+            String value = kept.get(command.key());
+            boolean hit = value != null;
+            if (!hit) {
+                value = origin.fetch(command.key());
+                keep(kept, command.key(), value);
+            }
+            return "VA " + value.length() + " O" + command.id() + (hit ? " h1" : " h0") + "\r\n" + value + "\r\n";
+        }
+        String key = command.figures().get("k");
+        String receipt = key == null ? null : receipts.get(key);
+        if (receipt == null) {
+            origin.write(command.key());
+            kept.remove(command.key());
+            receipt = Long.toString(++lastReceipt);
+            if (key != null) {
+                keep(receipts, key, receipt);
+            }
+        }
+        return "HD O" + command.id() + " c" + receipt + "\r\n";
+    }
+
+    private static void keep(Map<String, String> map, String key, String value) {
+        if (map.size() >= MOST_KEPT) {
+            map.remove(map.keySet().iterator().next());
+        }
+        map.put(key, value);
+    }
+}
