--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -88,17 +88,23 @@
      * What a balancer is told at its start; times in nanoseconds. {@code keyQuiet}: how long a key in order
      * rests after an attempt that may still be running. {@code budget}: null where there is none.
      * {@code hedgeQuantile}: the quantile of served latencies after which a copy goes out, in (0, 1).
+     * {@code candidates}: hosts that a key lives on; with 1 it lives on no other, however hot, as hosts
+     * that do not read through need it.
      */
     public record Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
                            int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
                            boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
                            long drainGrace, long askWithin, double coldFrom,
                            long warmWithin, double tipMultiple, long fallTime, double overShareWorth,
-                           long keyQuiet, Budget budget, ReportLayout report, double hedgeQuantile) {
+                           long keyQuiet, Budget budget, ReportLayout report, double hedgeQuantile,
+                           int candidates) {
         /** Where no quantile is stated. */
         public static final double HEDGE_QUANTILE = 0.95;
 
-        /** Settings that state no quantile. */
+        /** Where no number of candidates is stated. */
+        public static final int CANDIDATES = 2;
+
+        /** Settings that state neither a quantile nor a number of candidates. */
         public Settings(List<RequestClass> classes, List<Tenant> tenants, int zone, int rank,
                         int instances, boolean aside, int originKind, boolean subscribe, int maxAttempts,
                         boolean mayDuplicate, boolean mayCancel, boolean retryAfter, long maxRetryAfter,
@@ -108,7 +114,7 @@
             this(classes, tenants, zone, rank, instances, aside, originKind, subscribe, maxAttempts,
                     mayDuplicate, mayCancel, retryAfter, maxRetryAfter, drainGrace, askWithin, coldFrom,
                     warmWithin, tipMultiple, fallTime, overShareWorth, keyQuiet, budget, report,
-                    HEDGE_QUANTILE);
+                    HEDGE_QUANTILE, CANDIDATES);
         }
     }
 
--- a/src/main/java/eiderscale/Candidates.java
+++ b/src/main/java/eiderscale/Candidates.java
@@ -4,8 +4,6 @@
 
 /** Weighted rendezvous hashing: the few hosts that a key lives on. */
 final class Candidates {
-    /** Candidates of a key on the ordinary path. */
-    private static final int ORDINARY = 2;
     /** Most candidates of a hot key, and further hosts kept for when all candidates are spent. */
     private static final int MOST = 32;
     private static final int SPARE = 2;
@@ -29,9 +27,12 @@
     private int counted;
     private long halved;
     private final HostHealth health;
+    private final int ordinary;
 
-    Candidates(HostHealth health) {
+    /** {@code ordinary}: candidates of a key on the ordinary path. */
+    Candidates(HostHealth health, int ordinary) {
         this.health = health;
+        this.ordinary = ordinary;
     }
 
     /** Fills {@link #top} with the usable hosts of least -ln(1 - hash) / weight, near ones made heavier. */
@@ -89,11 +90,11 @@
     /** Guards against a hot key swamping two hosts: candidates grow with its share of our traffic. */
     private int width(long key) {
         int slot = slot(key);
-        if (keys[slot] != key || counted < LEAST) {
-            return ORDINARY;
+        if (keys[slot] != key || counted < LEAST || ordinary == 1) {
+            return ordinary;
         }
         double share = (counts[slot] - 2.0) / counted;
-        return (int) Math.max(ORDINARY, Math.min(MOST, Math.ceil(share * health.cacheCount * ROOM)));
+        return (int) Math.max(ordinary, Math.min(MOST, Math.ceil(share * health.cacheCount * ROOM)));
     }
 
     /** The candidate with the fewest of our requests in flight; among equals the nearest if not slow. */
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -107,7 +107,7 @@
         this.settings = settings;
         this.actions = actions;
         this.health = new HostHealth(settings, seed);
-        this.candidates = new Candidates(health);
+        this.candidates = new Candidates(health, settings.candidates());
         this.admission = new Admission(settings);
         this.hedging = new Hedging(settings.budget(), settings.hedgeQuantile());
         this.order = new KeyOrder<>(settings.keyQuiet());
--- a/src/main/java/eiderscale/cli/Stairshelf.java
+++ b/src/main/java/eiderscale/cli/Stairshelf.java
@@ -31,12 +31,11 @@
 
     /** Runs the command that the arguments name, and ends the process with its exit code. */
     public static void main(String[] args) {
-        // Halting skips the hooks that a served stop waits in; commands that are done have nothing left to end.
-        System.exit(execute(args));
+        System.exit(line().execute(args));
     }
 
-    /** Runs a command; returns its exit code. */
-    static int execute(String... args) {
+    /** All commands, ready to run. */
+    static CommandLine line() {
         CommandLine line = new CommandLine(new Stairshelf());
         line.setExecutionExceptionHandler((thrown, command, result) -> {
             boolean known = thrown instanceof ConfigException || thrown instanceof java.io.IOException;
@@ -46,6 +45,6 @@
             }
             return thrown instanceof ConfigException ? BAD : CANNOT_RUN;
         });
-        return line.execute(args);
+        return line;
     }
 }
--- a/src/main/java/eiderscale/config/Application.java
+++ b/src/main/java/eiderscale/config/Application.java
@@ -59,7 +59,8 @@
     static Application of(Values root) {
         Values pool = root.table("pool");
         List<InetSocketAddress> listeners = root.list("listen").stream().map(InetSocketAddress.class::cast).toList();
-        List<ServiceClass> classes = root.tables("classes").stream().map(Application::requestClass).toList();
+        List<ServiceClass> classes = root.tables("classes").stream()
+                .map(c -> requestClass(c, root.table("hedge").flag("enabled"))).toList();
         Map<String, ServiceClass> named = new HashMap<>();
         classes.forEach(c -> named.putIfAbsent(c.name, c));
         List<Route> routes = new ArrayList<>();
@@ -88,12 +89,12 @@
         };
     }
 
-    private static ServiceClass requestClass(Values c) {
+    private static ServiceClass requestClass(Values c, boolean copies) {
         Api.Effect effect = effect(c, Api.Effect.FRAGILE);
         Operation operation = word(c, "operation", Operation.READ);
         boolean retry = c.has("retry") ? c.flag("retry") : effect != Api.Effect.FRAGILE;
         boolean hedge = c.has("hedge") ? c.flag("hedge")
-                : effect == Api.Effect.RETRYABLE && operation == Operation.READ;
+                : copies && effect == Api.Effect.RETRYABLE && operation == Operation.READ;
         c.put("retry", retry, c.states("retry"));
         c.put("hedge", hedge, c.states("hedge"));
         return new ServiceClass(c.path, c.has("name") ? c.text("name") : "", operation, effect, c.whole("aim"),
@@ -204,7 +205,7 @@
                 cold.real("multiple") / MARGIN, cold.whole("falls-after"), 1, KEY_QUIET,
                 new Api.Budget(retry.real("free"), retry.real("share"), retry.whole("span")),
                 new Api.ReportLayout(fields.indexOf("rif"), fields.indexOf("q"), fields.indexOf("busy")),
-                hedge.real("quantile"));
+                hedge.real("quantile"), hostKind == Site.HostKind.MEMCACHED ? 1 : Api.Settings.CANDIDATES);
     }
 
     private static Api.RequestClass requestClass(ServiceClass c) {
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -51,9 +51,18 @@
         checks.classes();
         checks.routes();
         checks.hedging();
+        checks.resending();
+    }
+
+    /** The rule itself; where a check above has told of the keys that a violation comes from, it is not told twice. */
+    private void resending() {
         for (ResendRule.Violation violation : ResendRule.violations(app)) {
-            report.error(violation.key(), violation.why(), violation.allowed(),
-                    violation.others().toArray(String[]::new));
+            Set<String> keys = new HashSet<>(violation.others());
+            keys.add(violation.key());
+            if (!report.tellsOf(keys)) {
+                report.error(violation.key(), violation.why(), violation.allowed(),
+                        violation.others().toArray(String[]::new));
+            }
         }
     }
 
--- a/src/main/java/eiderscale/config/Report.java
+++ b/src/main/java/eiderscale/config/Report.java
@@ -58,6 +58,12 @@
         say(Problem.Severity.ERROR, key, message, allowed, null, others);
     }
 
+    /** Whether an error has been told of one of these keys. */
+    boolean tellsOf(Set<String> keys) {
+        return problems.stream().anyMatch(problem -> problem.severity() == Problem.Severity.ERROR
+                && keys.contains(problem.key()));
+    }
+
     void unknownName(String key, String name, Iterable<String> known, String what) {
         say(Problem.Severity.ERROR, key, "no " + what + " is called '" + name + "'", null,
                 Nearest.to(name, known));
--- a/src/main/java/eiderscale/config/ResendRule.java
+++ b/src/main/java/eiderscale/config/ResendRule.java
@@ -101,35 +101,43 @@
         if (!served.resends()) {
             return;
         }
+        List<String> prefixes = matching.stream().map(route -> route.path() + ".prefix").toList();
         for (Route route : matching) {
-            checkClaim(route.requestClass(), served, route.path() + ".class", hint, route);
+            checkClaim(route.requestClass(), served, route.path() + ".class", hint, prefixes);
             if (route.effect() != null && route.effect().compareTo(served.effect()) > 0) {
                 found.add(new Violation(route.path() + ".effect", "requests that the route says are "
                         + word(route.effect()) + " are served under '" + served.name() + "', which is sent again",
-                        null, List.of(route.path() + ".class", served.path() + ".effect")));
+                        null, with(prefixes, route.path() + ".class", served.path() + ".effect")));
             }
         }
         if (hint != null) {
-            checkClaim(hint, served, "clients.class", hint, null);
+            checkClaim(hint, served, "clients.class", hint, List.of());
         }
     }
 
     /** {@code claimed}: a class that something says the request is of. */
-    private void checkClaim(ServiceClass claimed, ServiceClass served, String key, ServiceClass hint, Route route) {
+    private void checkClaim(ServiceClass claimed, ServiceClass served, String key, ServiceClass hint,
+                            List<String> prefixes) {
         boolean stricter = claimed.effect().compareTo(served.effect()) > 0
                 || claimed.effect() == Effect.DEDUP && served.effect() == Effect.DEDUP
                 && (claimed.window() < served.deadline() || claimed.group() != served.group());
         if (!stricter) {
             return;
         }
-        boolean byClient = hint != null && route != null;
+        boolean byClient = hint != null && !prefixes.isEmpty();
         found.add(new Violation(byClient ? "clients.class" : key, "requests of the " + word(claimed.effect())
                 + " class '" + claimed.name() + "' " + (byClient ? "can be marked as '" : "are served under '")
                 + served.name() + "'" + (byClient ? " by a client's word" : "") + ", which is sent again",
-                byClient ? "checked or fallback" : null, List.of(claimed.path() + ".effect",
+                byClient ? "checked or fallback" : null, with(prefixes, claimed.path() + ".effect",
                 served.path() + ".effect", served.path() + ".retry", served.path() + ".hedge", key)));
     }
 
+    private static List<String> with(List<String> keys, String... more) {
+        List<String> all = new ArrayList<>(keys);
+        all.addAll(List.of(more));
+        return all;
+    }
+
     static String word(Effect effect) {
         return switch (effect) {
             case RETRYABLE -> "safe";
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -148,12 +148,12 @@
                             Key.of("deadline", Type.DURATION, "When its clients give up.").needed()
                                     .within(10 * MS, 10 * MINUTE),
                             Key.of("worth", Type.NUMBER, "Its worth beside the others'.").or(1.0).within(0, 1000),
-                            Key.of("late-worth", Type.NUMBER, "The part of it that is left after the aim.")
-                                    .or(0.0).within(0, 1),
+                            Key.of("late-worth", Type.NUMBER, "The part of it that is left after the aim; with "
+                                    + "0 a request is given up on at its aim.").or(0.5).within(0, 1),
                             Key.of("retry", Type.FLAG, "Whether it is sent again after an attempt that may have "
                                     + "run. Left out: true, but for unsafe ones."),
                             Key.of("hedge", Type.FLAG, "Whether a copy may run beside it. Left out: true for "
-                                    + "safe reads."),
+                                    + "safe reads where [hedge] is on."),
                             Key.of("window", Type.DURATION, "For how long hosts drop repeats; keyed classes "
                                     + "only.").within(MS, 24 * HOUR),
                             Key.of("group", Type.CHOICE, "The hosts that drop repeats for one another; keyed "
--- a/src/main/java/eiderscale/config/Type.java
+++ b/src/main/java/eiderscale/config/Type.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.OffsetDateTime;
+import java.time.format.DateTimeFormatter;
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -206,6 +207,7 @@
             case ADDRESS -> '"' + address((InetSocketAddress) value) + '"';
             case TEXT, NAME, PREFIX, CHOICE -> quoted((String) value);
             case NUMBER -> decimal((Double) value);
+            case TIME -> DateTimeFormatter.ISO_OFFSET_DATE_TIME.format((OffsetDateTime) value);
             default -> String.valueOf(value);
         };
     }
--- a/src/main/java/eiderscale/sidecar/Process.java
+++ b/src/main/java/eiderscale/sidecar/ProcessLimits.java
@@ -7,12 +7,12 @@
 import java.nio.file.Path;
 
 /** What this process may use, held against what a file has it use. */
-final class Process {
+final class ProcessLimits {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final String OPEN_FILES = "Max open files";
     private static final long MEGABYTE = 1024 * 1024;
 
-    private Process() {
+    private ProcessLimits() {
     }
 
     /** Throws {@link ConfigException} where the file asks for more. */
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -90,7 +90,7 @@
             throw new ConfigException(faults(file, app.problems()));
         }
         app.problems().forEach(problem -> log.accept(file + ":" + problem.text()));
-        Process.check(app);
+        ProcessLimits.check(app);
         return new Sidecar(file, app, loop, log);
     }
 
--- /dev/null
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -0,0 +1,105 @@
+package eiderscale;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.properties.HasName.Predicates.nameMatching;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaCall;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.core.domain.JavaClasses;
+
+/** Which packages know which, and which decide and hold no I/O, no clock and no threads. */
+@AnalyzeClasses(packages = "eiderscale", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+    /** Packages without I/O, clock and threads. */
+    private static final String[] PURE = {"eiderscale", "eiderscale.config"};
+
+    private static final DescribedPredicate<JavaClass> MACHINERY = resideInAnyPackage("java.io..", "java.nio.file..",
+            "java.nio.channels..", "java.util.concurrent..", "java.time", "java.util.logging..", "io.netty.channel..",
+            "io.netty.bootstrap..").and(DescribedPredicate.not(nameMatching("java\\.io\\.(IOException|Serializable|"
+            + "UncheckedIOException)|java\\.time\\.(OffsetDateTime|Instant)")));
+    private static final DescribedPredicate<JavaCall<?>> TIME = DescribedPredicate.describe("asks for the time",
+            call -> call.getTarget().getFullName().matches("java\\.lang\\.System\\.(nanoTime|currentTimeMillis)\\(.*"
+                    + "|java\\.time\\..*\\.now\\(.*"));
+
+    @ArchTest
+    static final ArchRule WHAT_DECIDES_DOES_NO_IO = noClasses().that().resideInAnyPackage(PURE).should()
+            .dependOnClassesThat(MACHINERY);
+
+    @ArchTest
+    static final ArchRule WHAT_DECIDES_READS_NO_CLOCK = noClasses().that().resideInAnyPackage(PURE).should()
+            .callMethodWhere(TIME);
+
+    @ArchTest
+    static final ArchRule WHAT_DECIDES_STARTS_NO_THREADS = noClasses().that().resideInAnyPackage(PURE).should()
+            .dependOnClassesThat().areAssignableTo(Thread.class);
+
+    @ArchTest
+    static final ArchRule THE_MODULE_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale").should()
+            .dependOnClassesThat().resideInAPackage("eiderscale.*..");
+
+    @ArchTest
+    static final ArchRule CONFIG_KNOWS_THE_MODULES_INTERFACE_ALONE = noClasses().that()
+            .resideInAPackage("eiderscale.config").should().dependOnClassesThat(resideInAPackage("eiderscale..")
+            .and(DescribedPredicate.not(resideInAPackage("eiderscale.config")))
+            .and(DescribedPredicate.not(nameMatching("eiderscale\\.Api(\\$.*)?"))));
+
+    /** Routing, retries and hedging are the module's: net may start it and must not look inside. */
+    @ArchTest
+    static final ArchRule NET_DECIDES_NOTHING = noClasses().that().resideInAPackage("eiderscale.net").should()
+            .dependOnClassesThat(nameMatching("eiderscale\\.(Candidates|Hedging|HostHealth|Admission|KeyOrder)"
+            + "(\\$.*)?|com\\.tdunning\\..*"));
+
+    @ArchTest
+    static final ArchRule NET_MAKES_THE_MODULE_IN_ONE_PLACE = noClasses().that().resideInAPackage("eiderscale.net")
+            .and().doNotHaveSimpleName("Node").and().doNotHaveSimpleName("Main").and()
+            .doNotHaveSimpleName("Rehearsal").should().dependOnClassesThat().haveFullyQualifiedName(
+            "eiderscale.Router");
+
+    @ArchTest
+    static final ArchRule NET_KNOWS_NOTHING_ABOVE_IT = noClasses().that().resideInAPackage("eiderscale.net").should()
+            .dependOnClassesThat().resideInAnyPackage("eiderscale.cli", "eiderscale.sidecar", "eiderscale.standin",
+            "eiderscale.sim");
+
+    @ArchTest
+    static final ArchRule THE_SIMULATORS_ADAPTER_HAS_NO_SOCKETS = noClasses().that()
+            .resideInAPackage("eiderscale.sim").should().dependOnClassesThat().resideInAnyPackage("eiderscale.net",
+            "io.netty..");
+
+    @ArchTest
+    static final ArchRule STAND_INS_KNOW_NOTHING_OF_THE_PROGRAM = noClasses().that()
+            .resideInAPackage("eiderscale.standin").should().dependOnClassesThat(resideInAPackage("eiderscale..")
+            .and(DescribedPredicate.not(resideInAPackage("eiderscale.standin"))));
+
+    /** On the platform neither the file's reader nor the command line is loaded: only these packages know them. */
+    @ArchTest
+    static final ArchRule LIBRARIES_OF_THE_SIDECAR_STAY_THERE = classes().that(resideInAnyPackage("org.tomlj..",
+            "picocli..", "org.antlr..")).or().haveFullyQualifiedName("eiderscale.config.Reader").should()
+            .onlyBeAccessed().byAnyPackage("eiderscale.config", "eiderscale.cli", "org.tomlj..", "picocli..",
+            "org.antlr..").allowEmptyShould(true);
+
+    @ArchTest
+    static final ArchRule ONLY_THE_READER_KNOWS_TOML = noClasses().that().doNotHaveSimpleName("Reader").should()
+            .dependOnClassesThat().resideInAnyPackage("org.tomlj..");
+
+    @ArchTest
+    static final ArchRule ONLY_THE_CLI_KNOWS_PICOCLI = noClasses().that().resideOutsideOfPackage("eiderscale.cli")
+            .should().dependOnClassesThat().resideInAnyPackage("picocli..");
+
+    /** The rules above can fail: net does use sockets. */
+    @ArchTest
+    static void theRuleOnIoCanFail(JavaClasses all) {
+        assertThrows(AssertionError.class, () -> noClasses().that().resideInAPackage("eiderscale.net").should()
+                .dependOnClassesThat(MACHINERY).check(all));
+        assertThrows(AssertionError.class, () -> noClasses().that().resideInAPackage("eiderscale.net").should()
+                .callMethodWhere(TIME).check(all));
+    }
+}
--- a/src/test/java/eiderscale/Bed.java
+++ b/src/test/java/eiderscale/Bed.java
@@ -216,6 +216,7 @@
         boolean ordered;
         boolean retry = true;
         boolean hedge = true;
+        int candidates = Api.Settings.CANDIDATES;
         double quantile = Api.Settings.HEDGE_QUANTILE;
         Api.Budget budget;
         Api.ReportLayout report = new Api.ReportLayout(-1, -1, -1);
@@ -231,7 +232,7 @@
             return new Api.Settings(classes, tenants, 0, rank, instances, aside, aside ? 2 : -1, subscribe,
                     maxAttempts, mayDuplicate, true, true, 2000 * MS, 250 * MS, 10_000 * MS,
                     0.2, 10_000 * MS, 4, 1000 * MS, overShareWorth,
-                    50 * MS, budget, report, quantile);
+                    50 * MS, budget, report, quantile, candidates);
         }
     }
 }
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -89,6 +89,32 @@
         assertTrue(bed.refused(1), "a repeat by the client does no harm");
     }
 
+    @Test
+    void aKeyOfOneCandidateMovesWhileItsHostIsOut() {
+        Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
+        settings.candidates = 1;
+        Bed bed = new Bed(settings).servers(8);
+        long home = bed.request(1, Bed.READ, 5).server();
+        long next = bed.outcome(1, 0, Reason.CONNECT_FAILED).server();
+        assertNotEquals(home, next);
+        assertEquals(home, bed.request(2, Bed.READ, 5).server());
+        bed.outcome(2, 0, Reason.CONNECT_FAILED);
+        assertEquals(next, bed.request(3, Bed.READ, 5).server(), "the breaker is open: its next host serves");
+    }
+
+    @Test
+    void aKeyOfOneCandidateLivesThereAloneHoweverHot() {
+        Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
+        settings.candidates = 1;
+        Bed bed = new Bed(settings).servers(8);
+        long home = bed.request(1, Bed.READ, 5).server();
+        for (int i = 2; i < 200; i++) {
+            assertEquals(home, bed.request(i, Bed.READ, 5).server(), "with " + i + " in flight");
+        }
+        bed.pass(900);
+        assertEquals(199, bed.sends.size(), "no copies elsewhere");
+    }
+
     @Test
     void theStatedQuantileIsTheDelayOfACopy() {
         Bed.SettingsBuilder settings = new Bed.SettingsBuilder();
