Pages for operators and developers; a start that fails for want of a port exits with 1

'config write' adds routes where one class alone does what a request asks for, so that plain meta clients need name none. A taken port, too small a heap or too few descriptors are no fault of the file: exit 1 instead of 2.

--- a/src/main/java/eiderscale/cli/ConfigCommand.java
+++ b/src/main/java/eiderscale/cli/ConfigCommand.java
@@ -4,6 +4,7 @@
 import eiderscale.config.AppFile;
 import eiderscale.config.Change;
 import eiderscale.config.ConfigException;
+import eiderscale.config.KeyTable;
 import eiderscale.config.Problem;
 import eiderscale.config.Schema;
 import eiderscale.config.Writer;
@@ -132,6 +133,14 @@
         return Stairshelf.GOOD;
     }
 
+    @Command(name = "keys", mixinStandardHelpOptions = true,
+            description = "Prints every key with its default, what is allowed and what it means, as Markdown.")
+    int keys() {
+        spec.commandLine().getOut().print(KeyTable.markdown());
+        spec.commandLine().getOut().flush();
+        return Stairshelf.GOOD;
+    }
+
     @Command(name = "write", mixinStandardHelpOptions = true,
             description = "Writes an application's file, commented, with every default; asks for what no option "
             + "tells, where there is somebody to ask.")
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -95,8 +95,8 @@
                             Key.of("warm-within", Type.DURATION, "After this it has all of it.").or(24 * SECOND)
                                     .within(100 * MS, HOUR),
                             Key.of("falls-at", Type.NUMBER, "A host falls over when it is sent this many times "
-                                    + "what it can do at the moment,").or(4.0).within(1, 100),
-                            Key.of("falls-after", Type.DURATION, "for this long.").or(2 * SECOND)
+                                    + "what it can do at the moment, for falls-after.").or(4.0).within(1, 100),
+                            Key.of("falls-after", Type.DURATION, "For how long a host bears that.").or(2 * SECOND)
                                     .within(10 * MS, MINUTE),
                             Key.of("multiple", Type.NUMBER, "How many times what it can do all balancers together "
                                     + "send a cold host at most; half of falls-at at most, as chance adds to it.")
--- a/src/main/java/eiderscale/config/Writer.java
+++ b/src/main/java/eiderscale/config/Writer.java
@@ -74,13 +74,20 @@
             comment(text, section.doc());
             switch (section.name()) {
                 case "classes" -> classes.forEach(c -> requestClass(section, c, text));
-                case "tenants", "routes" -> example(section, text);
+                case "routes" -> {
+                    example(section, text);
+                    routes(classes, text);
+                }
+                case "tenants" -> example(section, text);
                 default -> {
                     text.append('[').append(section.name()).append("]\n");
                     keys(section, section.name() + ".", answers, text);
                 }
             }
         }
+        while (text.charAt(text.length() - 2) == '\n') {
+            text.setLength(text.length() - 1);
+        }
         return text.append('\n').append(Spec.END).append('\n').toString();
     }
 
@@ -119,6 +126,17 @@
         text.append('\n');
     }
 
+    /** Where one class alone does what a request asks for, the request need not name it. */
+    private static void routes(List<NewClass> classes, StringBuilder text) {
+        for (String operation : List.of("read", "write")) {
+            List<NewClass> meant = classes.stream().filter(c -> c.operation().equals(operation)).toList();
+            if (meant.size() == 1) {
+                text.append("[[routes]]\noperation = ").append(Type.quoted(operation)).append("\nclass = ")
+                        .append(Type.quoted(meant.get(0).name())).append("\n\n");
+            }
+        }
+    }
+
     private static void example(Section section, StringBuilder text) {
         text.append("# [[").append(section.name()).append("]]\n");
         for (Key key : section.keys()) {
--- a/src/main/java/eiderscale/sidecar/ProcessLimits.java
+++ b/src/main/java/eiderscale/sidecar/ProcessLimits.java
@@ -1,7 +1,6 @@
 package eiderscale.sidecar;
 
 import eiderscale.config.AppFile;
-import eiderscale.config.ConfigException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -15,17 +14,17 @@
     private ProcessLimits() {
     }
 
-    /** Throws {@link ConfigException} where the file asks for more. */
-    static void check(AppFile app) {
+    /** Throws {@link IOException} where the file asks for more. */
+    static void check(AppFile app) throws IOException {
         long heap = Runtime.getRuntime().maxMemory();
         if (app.heapBytes() > heap) {
-            throw new ConfigException("the limits need a heap of " + (app.heapBytes() / MEGABYTE + 1)
+            throw new IOException("the limits need a heap of " + (app.heapBytes() / MEGABYTE + 1)
                     + " MB and this process has " + heap / MEGABYTE + " MB: lower [limits] or set -Xmx in "
                     + "STAIRSHELF_JAVA_OPTS");
         }
         long descriptors = descriptors();
         if (app.descriptors() > descriptors) {
-            throw new ConfigException("limits.descriptors is " + app.descriptors() + " and this process may have "
+            throw new IOException("limits.descriptors is " + app.descriptors() + " and this process may have "
                     + descriptors + " (ulimit -n)");
         }
     }
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -48,7 +48,7 @@
     private Site site;
 
     private Sidecar(Path file, AppFile app, EventLoop loop, Consumer<String> log)
-            throws InterruptedException, ExecutionException {
+            throws InterruptedException, ExecutionException, IOException {
         this.file = file;
         this.current = app;
         this.loop = loop;
@@ -81,10 +81,10 @@
 
     /**
      * Starts serving; returns when all its listeners are up. Throws {@link ConfigException} for a file that cannot
-     * be used, or that asks for more than this process has.
+     * be used, {@link IOException} where it cannot listen or the file asks for more than this process has.
      */
     public static Sidecar start(Path file, EventLoop loop, Consumer<String> log)
-            throws InterruptedException, ExecutionException {
+            throws InterruptedException, ExecutionException, IOException {
         AppFile app = read(file);
         if (!app.isGood()) {
             throw new ConfigException(faults(file, app.problems()));
@@ -124,14 +124,15 @@
         return String.join("\n", lines);
     }
 
-    private List<InetSocketAddress> listen(Config config) throws InterruptedException, ExecutionException {
+    private List<InetSocketAddress> listen(Config config)
+            throws InterruptedException, ExecutionException, IOException {
         List<InetSocketAddress> bound = new ArrayList<>();
         for (int i = 0; i < config.listeners().size(); i++) {
             InetSocketAddress address = config.listeners().get(i);
             boolean isFirst = i == 0;
             ChannelFuture up = loop.submit(() -> isFirst ? node.start() : node.listen(address)).get().await();
             if (!up.isSuccess()) {
-                throw new ConfigException("cannot listen on " + address.getAddress().getHostAddress() + ":"
+                throw new IOException("cannot listen on " + address.getAddress().getHostAddress() + ":"
                         + address.getPort() + ": " + up.cause().getMessage());
             }
             bound.add((InetSocketAddress) up.channel().localAddress());
--- a/src/test/java/eiderscale/cli/CommandsTest.java
+++ b/src/test/java/eiderscale/cli/CommandsTest.java
@@ -9,6 +9,8 @@
 import eiderscale.config.Cases;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.BeforeEach;
@@ -89,6 +91,17 @@
         assertEquals(2, run("config", "diff", good, bad));
     }
 
+    @Test
+    void aGoodFileThatCannotBeServedIsOne() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            assertEquals(1, run("sidecar", changed("127.0.0.1:21000", "127.0.0.1:" + taken.getLocalPort())));
+            assertTrue(err.contains("cannot listen on 127.0.0.1:" + taken.getLocalPort()), err);
+        }
+        assertEquals(1, run("sidecar", changed("memory = \"192MB\"\ndescriptors = 1024\nopen-requests = 400",
+                "memory = \"60GB\"\ndescriptors = 1000000\nopen-requests = 1000000")), out + err);
+        assertTrue(err.contains("STAIRSHELF_JAVA_OPTS") || err.contains("ulimit"), err);
+    }
+
     @Test
     void warningsAreErrorsWhereStrict() throws Exception {
         Path warned = changed("# end", "# the end");
@@ -150,6 +163,42 @@
         assertTrue(out.contains("listen: [\"127.0.0.1:21000\"] -> [\"127.0.0.1:21009\"]   (needs a restart)"), out);
     }
 
+    @Test
+    void whatNoOptionTellsIsAskedFor() throws Exception {
+        Path file = folder.resolve("asked.toml");
+        java.io.InputStream before = System.in;
+        try {
+            System.setIn(new java.io.ByteArrayInputStream("portal\n127.0.0.1:21000\n127.0.0.1:21001, 127.0.0.1:21002\n"
+                    .concat("view:read:safe copy:write:unsafe\n").getBytes()));
+            assertEquals(0, run("config", "write", file), () -> err);
+            assertEquals(0, run("config", "check", "--strict", file));
+            System.setIn(new java.io.ByteArrayInputStream("portal\n".getBytes()));
+            assertEquals(2, run("config", "write", folder.resolve("half.toml")));
+            assertTrue(err.contains("no option --listen"), err);
+            assertFalse(Files.exists(folder.resolve("half.toml")));
+        } finally {
+            System.setIn(before);
+        }
+    }
+
+    @Test
+    void everyExampleIsGood() throws Exception {
+        try (var files = Files.list(Path.of("deploy"))) {
+            Object[] examples = files.filter(f -> f.toString().endsWith(".example.toml")).toArray();
+            assertTrue(examples.length > 0);
+            for (Object example : examples) {
+                assertEquals(0, run("config", "check", "--strict", example), () -> out);
+            }
+        }
+    }
+
+    @Test
+    void thePageOfOperatorsHasEveryKey() throws Exception {
+        assertEquals(0, run("config", "keys"));
+        assertTrue(Files.readString(Path.of("docs/sidecar.md")).contains(out.replace("\r", "")),
+                "make its table anew with: stairshelf config keys");
+    }
+
     @Test
     void theDemoAddsUpThoughAHostIsKilled() {
         assertEquals(0, run("demo", "--seconds", "4"), () -> out + err);
