--- a/src/main/java/eiderscale/config/DescriptorPlan.java
+++ b/src/main/java/eiderscale/config/DescriptorPlan.java
@@ -2,9 +2,10 @@
 
 /**
  * How the descriptors of a process are dealt out: connections of clients, those kept just to be refused
- * ({@code surplus}), and connections to cache hosts ({@code links}).
+ * ({@code surplus}), and connections to cache hosts ({@code links}). From {@code easy} connections of clients on,
+ * those that have long been idle are closed.
  */
-public record DescriptorPlan(int clients, int surplus, int links) {
+public record DescriptorPlan(int clients, int surplus, int easy, int links) {
     /** Kept for the JVM itself (11 when idle), discovery and the listening sockets, and for accepts. */
     private static final int RESERVE = 48;
     /**
@@ -13,6 +14,12 @@
      * that only say nothing, and for those that are kept just to be refused.
      */
     private static final int REQUESTS_PART = 3;
+    /**
+     * Part of what clients may open for requests from which on idle connections are closed. Guards against clients
+     * that ask once and keep their connection, which leave the others none to ask on. Harm: where that many are in
+     * use by turns, some are opened again for nothing.
+     */
+    private static final double EASY_PART = 0.75;
     private static final int FURTHER_PART = 8;
     private static final int SURPLUS_PART = 16;
     private static final int MOST_SURPLUS = 16;
@@ -21,7 +28,7 @@
     public static DescriptorPlan of(int all) {
         int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
-        return new DescriptorPlan(clients, surplus,
+        return new DescriptorPlan(clients, surplus, (int) (all / REQUESTS_PART * EASY_PART),
                 Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus));
     }
 }
--- /dev/null
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -0,0 +1,301 @@
+package eiderscale.net;
+
+import eiderscale.connections.ConnectionTable.Why;
+import eiderscale.connections.Member;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/** One client's connection: reads its commands, writes their answers in the order of the commands, and closes. */
+final class ClientConnection extends SimpleChannelInboundHandler<MetaFrame> {
+    /** Requests of one connection that may be open at once; reading stops there. */
+    private static final int MOST_PIPELINED = 64;
+    /** Bytes of answers, over all connections, that clients may leave unread. */
+    private static final long MOST_UNREAD = 8L * 1024 * 1024;
+    /** After a fault a connection is not read for this long, and after so many faults no more at all. */
+    private static final long PENALTY_MS = 50;
+    private static final int MOST_FAULTS = 8;
+
+    private final ClientServer server;
+    private final SocketChannel channel;
+    private final MetaDecoder decoder;
+    private final Queue<Slot> slots = new ArrayDeque<>(2);
+    /** Null until it was let in, and for one that was turned away. */
+    private Member<ClientConnection> member;
+    private int faults;
+    private long pausedUntil;
+    private boolean quitting;
+    /** The last answer is on its way and the close behind it. */
+    private boolean leaving;
+    private boolean gone;
+    private boolean reading;
+    /** The command that was read last, and its place, until it is begun. */
+    private Slot pending;
+    private MetaFrame pendingFrame;
+
+    /** The place of one command in the order of answers. */
+    private static final class Slot implements Exchange.Client {
+        private final ClientConnection connection;
+        private ByteBuf answer;
+        private Exchange exchange;
+
+        Slot(ClientConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void answer(String line, byte[] data) {
+            if (!connection.gone) {
+                answer = Command.line(connection.channel.alloc(), line, data);
+                connection.server.unread(answer.readableBytes());
+                connection.flushReady();
+            }
+        }
+    }
+
+    ClientConnection(ClientServer server, SocketChannel channel, MetaDecoder decoder) {
+        this.server = server;
+        this.channel = channel;
+        this.decoder = decoder;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        member = server.admit(this, channel);
+        if (member == null) {
+            gone = true;
+            ctx.close();
+        }
+    }
+
+    /**
+     * Closes it, if a last look at the socket finds nothing: what had come since this turn's reads is a command like
+     * any other. One that was idle is told to go first and then waited for, so that a command which crosses that on
+     * its way finds an orderly end, as the protocol has it, and not a reset, which would look like a request lost.
+     * One that never brought a good command, or does not finish one, is closed outright. False if it stays.
+     */
+    boolean closeUnlessAsked(Why why) {
+        if (why == Why.FAREWELL) {
+            channel.close();
+            server.gone(this, member);
+            return true;
+        }
+        boolean gently = why != Why.SILENCE && (member.state() == Member.State.IDLE || why == Why.IDLE);
+        if (channel.config().isAutoRead()) {
+            ((AbstractNioChannel) channel).unsafe().read();
+        }
+        if (gone) {
+            return true;
+        }
+        boolean asked = !slots.isEmpty() || pending != null;
+        if (asked || gently && !decoder.isClean()) {
+            return false;
+        }
+        if (gently) {
+            linger();
+        } else {
+            // Counted out now, as the channel reports its end only later: a burst would evict but one.
+            gone = true;
+            server.gone(this, member);
+            channel.close();
+        }
+        return true;
+    }
+
+    /** Behind what is still being written; what comes meanwhile is read and let drop, lest it makes a reset. */
+    private void linger() {
+        quitting = true;
+        leaving = true;
+        server.closing(member, true);
+        channel.config().setAutoRead(true);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.shutdownOutput());
+    }
+
+    /** The server stops: closes at once if nothing is open, and otherwise behind the last answer. */
+    void windUp() {
+        if (!gone && !leaving && slots.isEmpty()) {
+            closeUnlessAsked(Why.IDLE);
+        }
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
+        begin();
+        if (quitting) {
+            return;
+        }
+        server.busy(member);
+        pending = new Slot(this);
+        pendingFrame = frame;
+        slots.add(pending);
+        server.loop().execute(this::begin);
+    }
+
+    /**
+     * Begins the command that was read last, once the reads of this turn are over: by then the end of a
+     * connection that was closed behind it has been seen too, and what nobody waits for any more is let drop.
+     * Guards against a queue of connections that all are dead by the time they are accepted, each of which
+     * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
+     * Harm: a client that only closes its sending side is not answered, as ever.
+     */
+    private void begin() {
+        Slot slot = pending;
+        MetaFrame frame = pendingFrame;
+        pending = null;
+        pendingFrame = null;
+        if (slot == null || gone) {
+            return;
+        }
+        if (!channel.isActive()) {
+            server.counters().departed++;
+            return;
+        }
+        reading = true;
+        if (frame.fault() != null) {
+            fault(slot, frame.fault(), frame.last());
+        } else {
+            take(slot, frame);
+        }
+        reading = false;
+        flushReady();
+    }
+
+    /** Whether half a command is here, seen once all that came has been read. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        tellHalf();
+    }
+
+    private void tellHalf() {
+        if (member != null && !quitting) {
+            server.half(member, slots.isEmpty() && !decoder.isClean());
+        }
+    }
+
+    /**
+     * Answers what cannot be served. Nothing behind a fault of framing is read; behind any other one reading
+     * rests, so that a client which sends the same again at once takes no time from the others.
+     */
+    private void fault(Slot slot, String answer, boolean last) {
+        server.counters().malformed++;
+        faults++;
+        server.faulty(member);
+        quitting = last || faults >= MOST_FAULTS;
+        pausedUntil = Clock.now() + PENALTY_MS * Clock.MILLISECOND;
+        server.loop().schedule(this::adjust, PENALTY_MS, TimeUnit.MILLISECONDS);
+        slot.answer(answer + "\r\n", null);
+    }
+
+    private void take(Slot slot, MetaFrame frame) {
+        switch (frame.words().get(0)) {
+            case "mg", "ms" -> request(slot, frame);
+            case "mn" -> {
+                server.spoke(member);
+                slot.answer("MN\r\n", null);
+            }
+            case "quit" -> {
+                slots.remove(slot);
+                quitting = true;
+            }
+            default -> fault(slot, "ERROR", false);
+        }
+    }
+
+    private void request(Slot slot, MetaFrame frame) {
+        if (member.isSurplus()) {
+            server.counters().localRefusals++;
+            quitting = true;
+            slot.answer("SERVER_ERROR busy\r\n", null);
+            return;
+        }
+        try {
+            slot.exchange = server.take(frame, slot);
+            server.spoke(member);
+        } catch (Command.Malformed e) {
+            fault(slot, e.getMessage(), false);
+        }
+    }
+
+    /** Writes the answers that no earlier command has to come before. */
+    void flushReady() {
+        if (reading || gone) {
+            return;
+        }
+        boolean wrote = false;
+        while (!slots.isEmpty() && slots.peek().answer != null) {
+            ByteBuf answer = slots.poll().answer;
+            int bytes = answer.readableBytes();
+            channel.write(answer).addListener(done -> server.unread(-bytes));
+            wrote = true;
+        }
+        if (wrote) {
+            channel.flush();
+        }
+        adjust();
+    }
+
+    /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
+    void adjust() {
+        if (gone || leaving) {
+            return;
+        }
+        if (slots.isEmpty() && server.isClosing() && !quitting && closeUnlessAsked(Why.IDLE)) {
+            return;
+        }
+        if (slots.isEmpty() && quitting) {
+            // Behind what is still being written: a close at once would cut a long answer short.
+            leaving = true;
+            quitting = true;
+            server.closing(member, false);
+            channel.config().setAutoRead(false);
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        } else if (server.unread() > MOST_UNREAD && !channel.isWritable()) {
+            // A client that does not read its answers must not take the memory of the others.
+            channel.close();
+        } else {
+            if (slots.isEmpty()) {
+                server.rest(member);
+                tellHalf();
+            }
+            channel.config().setAutoRead(!quitting && slots.size() < MOST_PIPELINED && channel.isWritable()
+                    && Clock.now() >= pausedUntil);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        adjust();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        gone = true;
+        if (member != null) {
+            server.gone(this, member);
+        }
+        for (Slot slot : slots) {
+            if (slot.answer != null) {
+                server.unread(-slot.answer.readableBytes());
+                slot.answer.release();
+            } else if (slot.exchange != null) {
+                server.clientGone(slot.exchange);
+            }
+        }
+        slots.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            server.counters().unexpected("on a client's connection", cause);
+        }
+        ctx.close();
+    }
+}
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -4,6 +4,7 @@
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
 import eiderscale.config.DescriptorPlan;
+import eiderscale.connections.ConnectionLimits;
 import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Router;
@@ -42,7 +43,8 @@
         budget = new Budget(config.heldBytes());
         DescriptorPlan plan = DescriptorPlan.of(config.sockets());
         balancer = new Balancer(config, loop, counters, module, budget, plan.links());
-        server = new ClientServer(balancer, loop, counters, budget, plan.clients(), plan.surplus());
+        server = new ClientServer(balancer, loop, counters, budget,
+                ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), 0));
     }
 
     /** Begins to listen at its first address: from then on it is ready to serve. */
@@ -56,9 +58,9 @@
         return server.listen(address);
     }
 
-    private void sweep() {
+    void sweep() {
         balancer.sweep();
-        server.sweep();
+        server.sweep(SWEEP_MS * Clock.MILLISECOND);
         if (++sweeps % SWEEPS_PER_PRINT == 0) {
             print();
         }
@@ -69,7 +71,7 @@
     }
 
     String gauges() {
-        return "clients " + server.clients() + " held " + budget.held() + " " + balancer.gauges();
+        return "clients " + server.clients() + " told-to-go " + server.toldToGo() + " held " + budget.held() + " " + balancer.gauges();
     }
 
     /** A list of hosts from elsewhere than discovery. */
@@ -114,12 +116,17 @@
         Promise<Void> done = loop.newPromise();
         long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + balancer.longestDeadline();
         loop.schedule(() -> {
-            server.close();
+            closeClients();
             await(done, end);
         }, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
         return done;
     }
 
+    /** Takes no more clients, and tells those that are idle to go. */
+    void closeClients() {
+        server.close();
+    }
+
     private void await(Promise<Void> done, long end) {
         // By the end every deadline has passed: only a client that does not read can still be there.
         if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
--- a/src/test/java/eiderscale/net/Peer.java
+++ b/src/test/java/eiderscale/net/Peer.java
@@ -44,6 +44,22 @@
         return null;
     }
 
+    /** The next line; null at an orderly end, the word "reset" after a reset. */
+    String lineOrReset() throws IOException {
+        StringBuilder line = new StringBuilder();
+        try {
+            for (int c = in.read(); c >= 0; c = in.read()) {
+                if (c == '\n') {
+                    return line.substring(0, line.length() - 1);
+                }
+                line.append((char) c);
+            }
+            return null;
+        } catch (java.net.SocketException e) {
+            return "reset";
+        }
+    }
+
     String data(int length) throws IOException {
         String data = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
         line();
