--- a/src/main/java/eiderscale/config/Application.java
+++ b/src/main/java/eiderscale/config/Application.java
@@ -138,12 +138,24 @@
         return values.text("application");
     }
 
+    /** How the descriptors are dealt out; where the file does not say how many are for clients, as usual. */
+    static DescriptorPlan plan(Values root) {
+        Values limits = root.table("limits");
+        int all = (int) limits.whole("descriptors");
+        DescriptorPlan usual = DescriptorPlan.of(all);
+        int clients = limits.has("clients") ? (int) limits.whole("clients") : usual.clients();
+        boolean ease = root.table("clients").flag("ease");
+        return DescriptorPlan.of(all, clients, !ease ? Integer.MAX_VALUE
+                : limits.has("clients") ? clients * 3 / 4 : usual.easy());
+    }
+
     /** What the balancer is started with. {@code previous}: the site in service, whose names keep their numbers. */
     Config config(long seed, Site previous) {
         Site site = site(previous);
         Values pool = values.table("pool");
         return new Config(name(), listeners, source == Source.DISCOVERY ? (InetSocketAddress) pool.get("discovery")
-                : null, seed, (int) values.table("limits").whole("descriptors"),
+                : null, seed, plan(values),
+                (int) values.table("limits").whole("clients-per-source"), values.table("clients").whole("idle"),
                 values.table("limits").whole("values"), site, new Catalog(0, true, members(hosts, site)));
     }
 
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -109,8 +109,15 @@
                     + " of memory", "limits that fit into limits.memory", "limits.memory", "limits.values",
                     "limits.open-requests", "limits.descriptors");
         }
-        DescriptorPlan plan = DescriptorPlan.of((int) limits.whole("descriptors"));
-        if (app.hosts().size() > plan.links()) {
+        DescriptorPlan plan = Application.plan(app.values());
+        if (limits.whole("clients-per-source") > plan.clients()) {
+            report.error("limits.clients-per-source", "is more than the " + plan.clients() + " that all clients may "
+                    + "have", "at most that many, or 0", "limits.clients", "limits.descriptors");
+        }
+        if (limits.has("clients") && limits.whole("clients") + plan.surplus() >= limits.whole("descriptors") * 3 / 4) {
+            report.error("limits.clients", "leaves too few of " + limits.whole("descriptors") + " descriptors for "
+                    + "hosts", "under three quarters of limits.descriptors", "limits.descriptors");
+        } else if (app.hosts().size() > plan.links()) {
             report.error("limits.descriptors", "leaves " + plan.links() + " connections to " + app.hosts().size()
                     + " hosts", "enough for one connection to each", "pool.hosts");
         } else if (limits.states("open-requests") && limits.whole("open-requests") > plan.links()) {
--- a/src/main/java/eiderscale/config/DescriptorPlan.java
+++ b/src/main/java/eiderscale/config/DescriptorPlan.java
@@ -24,11 +24,16 @@
     private static final int SURPLUS_PART = 16;
     private static final int MOST_SURPLUS = 16;
 
-    /** Deals out {@code all} descriptors. */
+    /** Deals out {@code all} descriptors as the platform does, where clients may open a third of them. */
     public static DescriptorPlan of(int all) {
-        int clients = Math.max(1, all / REQUESTS_PART + all / FURTHER_PART);
+        return of(all, all / REQUESTS_PART + all / FURTHER_PART, (int) (all / REQUESTS_PART * EASY_PART));
+    }
+
+    /** Deals them out with so many for clients; {@code easy}: {@link Integer#MAX_VALUE} closes no idle ones early. */
+    static DescriptorPlan of(int all, int clients, int easy) {
+        int some = Math.max(1, clients);
         int surplus = Math.min(MOST_SURPLUS, all / SURPLUS_PART);
-        return new DescriptorPlan(clients, surplus, (int) (all / REQUESTS_PART * EASY_PART),
-                Math.max(1, all - Math.min(RESERVE, all / 4) - clients - surplus));
+        return new DescriptorPlan(some, surplus, easy,
+                Math.max(1, all - Math.min(RESERVE, all / 4) - some - surplus));
     }
 }
--- a/src/main/java/eiderscale/config/PlatformReader.java
+++ b/src/main/java/eiderscale/config/PlatformReader.java
@@ -10,6 +10,8 @@
 public final class PlatformReader {
     private static final int DEFAULT_SOCKETS = 1024;
     /** Bytes of values that may be held together; the platform's heap has room for a few times that. */
+    /** A connection on which nothing has been asked for so long is closed; good clients ask far more often. */
+    private static final long CLIENT_IDLE = 20 * Units.SECOND;
     private static final long HELD_BYTES = 8L * 1024 * 1024;
 
     private PlatformReader() {
@@ -26,7 +28,8 @@
                     List.of(Catalog.address(Json.get(json, "listen", String.class))),
                     Catalog.address(Json.get(json, "discovery", String.class)),
                     Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
-                    Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue(), HELD_BYTES, site,
+                    DescriptorPlan.of(Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue()), 0,
+                    CLIENT_IDLE, HELD_BYTES, site,
                     Catalog.parse(known, site));
         } catch (NumberFormatException e) {
             throw new ConfigException("'seed' is no hexadecimal number");
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -50,6 +50,11 @@
                                     .or(192 * MB).within(96 * MB, 64 * GB).atRestart(),
                             Key.of("descriptors", Type.WHOLE, "Sockets and files; under half are for clients, the "
                                     + "rest mostly for hosts.").or(1024L).within(64, 1e6).atRestart(),
+                            Key.of("clients", Type.WHOLE, "Connections of clients. Left out: under half of the "
+                                    + "descriptors.").within(1, 1e6).atRestart(),
+                            Key.of("clients-per-source", Type.WHOLE, "Connections that one client address may "
+                                    + "have, lest it takes the places of the others; 0 for any number.").or(0L)
+                                    .within(0, 1e6).atRestart(),
                             Key.of("open-requests", Type.WHOLE, "Requests open at one time; more are refused.")
                                     .or(400L).within(1, 1e6),
                             Key.of("values", Type.SIZE, "Values of writes held at one time.").or(8 * MB)
@@ -59,6 +64,11 @@
                                     + "must be the route's; fallback: it counts where no route matches; first: it "
                                     + "goes before routes.").or("checked").from("checked", "fallback", "first"),
                             Key.of("tenant", Type.NAME, "The tenant of clients that name none."),
+                            Key.of("idle", Type.DURATION, "A connection on which nothing is asked for so long is "
+                                    + "closed.").or(10 * MINUTE).within(SECOND, 24 * HOUR).atRestart(),
+                            Key.of("ease", Type.FLAG, "Whether those idle for 100 ms are closed, the longest idle "
+                                    + "first, while more than three quarters of limits.clients are open.")
+                                    .or(false).atRestart(),
                             Key.of("retries", Type.WHOLE, "How often clients try again by themselves.").or(0L)
                                     .within(0, 20)),
                     section("pool", false, "The cache hosts.",
--- a/src/main/java/eiderscale/connections/ConnectionLimits.java
+++ b/src/main/java/eiderscale/connections/ConnectionLimits.java
@@ -21,9 +21,9 @@
     private static final long MS = 1_000_000L;
     private static final long SECOND = 1000 * MS;
 
-    /** Limits by number, with the usual times. */
-    public static ConnectionLimits of(int most, int surplus, int easy, int perSource) {
-        return new ConnectionLimits(most, surplus, Math.max(1, surplus / 2), easy, perSource, 2 * SECOND, 20 * SECOND, 100 * MS, 100 * MS,
+    /** Limits by number, with the usual times but for {@code idle}. */
+    public static ConnectionLimits of(int most, int surplus, int easy, int perSource, long idle) {
+        return new ConnectionLimits(most, surplus, Math.max(1, surplus / 2), easy, perSource, 2 * SECOND, idle, 100 * MS, 100 * MS,
                 2 * SECOND, 20 * MS);
     }
 }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -41,10 +41,11 @@
         this.config = config;
         this.loop = loop;
         budget = new Budget(config.heldBytes());
-        DescriptorPlan plan = DescriptorPlan.of(config.sockets());
+        DescriptorPlan plan = config.plan();
         balancer = new Balancer(config, loop, counters, module, budget, plan.links());
         server = new ClientServer(balancer, loop, counters, budget,
-                ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), 0));
+                ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), config.perSource(),
+                        config.clientIdle()));
     }
 
     /** Begins to listen at its first address: from then on it is ready to serve. */
--- a/src/test/java/eiderscale/connections/ConnectionTableTest.java
+++ b/src/test/java/eiderscale/connections/ConnectionTableTest.java
@@ -49,7 +49,7 @@
         World(long now, int perSource) {
             this.now = now;
             wheel = new TimingWheel(50 * MS, now);
-            table = new ConnectionTable<>(ConnectionLimits.of(MOST, SURPLUS, EASY, perSource), wheel, this::close);
+            table = new ConnectionTable<>(ConnectionLimits.of(MOST, SURPLUS, EASY, perSource, 20_000 * MS), wheel, this::close);
         }
 
         Real connect(Object source) {
--- a/src/test/java/eiderscale/sidecar/Talk.java
+++ b/src/test/java/eiderscale/sidecar/Talk.java
@@ -14,7 +14,11 @@
     private final InputStream in;
 
     Talk(InetSocketAddress address) throws IOException {
-        socket = new Socket(address.getAddress(), address.getPort());
+        this(new Socket(address.getAddress(), address.getPort()));
+    }
+
+    Talk(Socket connected) throws IOException {
+        socket = connected;
         socket.setSoTimeout(LIMIT_MS);
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream());
