--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -4,6 +4,7 @@
 import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Api.Reason;
+import eiderscale.connections.StaleAges;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -49,6 +50,8 @@
         long sendUntil = NEVER;
         int links;
         final Deque<Link> idle = new ArrayDeque<>();
+        /** From which age on it resets idle connections. */
+        final StaleAges ages = new StaleAges();
     }
 
     private Site site;
@@ -133,8 +136,10 @@
             link.leaveIdle();
             link = host.idle.peekLast();
         }
-        if (link != null) {
+        long now = Clock.now();
+        if (link != null && (host.ages.mayUse(now, now - link.idleSince, unsafe(attempt)) || links >= mostLinks)) {
             link.leaveIdle();
+            link.idleFor = now - link.idleSince;
             link.carry(attempt);
             link.write();
         } else if (links >= mostLinks && !evict()) {
@@ -146,6 +151,13 @@
         }
     }
 
+    /** Whether a reset that may have come after it ran would be the end of it. */
+    private static boolean unsafe(Attempt attempt) {
+        Exchange exchange = attempt.exchange;
+        return exchange.generation.site.settings.classes().get(exchange.command.requestClass).effect()
+                == Api.Effect.FRAGILE;
+    }
+
     /** Ends the wait for an attempt. One that was written costs its connection, as its answer may still come. */
     void abandon(Attempt attempt) {
         Link link = attempt.link;
@@ -204,6 +216,8 @@
         /** The write of the present attempt; done when its last byte has left. */
         private ChannelFuture sent;
         private long idleSince;
+        /** How long it had been idle when it took the present attempt; negative for a new one. */
+        private long idleFor = -1;
         /** Its answer has come and the read that brought it is not over. */
         private boolean answered;
         private boolean counted;
@@ -303,8 +317,16 @@
             }
         }
 
+        private void learn(boolean reset) {
+            if (idleFor >= 0) {
+                long now = Clock.now();
+                host.ages.used(now, idleFor, reset, now - attempt.sentAt);
+            }
+        }
+
         private void finish(Reason reason, MetaFrame answer, boolean close) {
             Attempt ended = attempt;
+            learn(false);
             release();
             sent = null;
             answered = !close;
@@ -365,6 +387,7 @@
                 // Before its last byte has left a request cannot run; after that it may have.
                 Reason reason = written() ? Reason.RESET : Reason.CONNECT_FAILED;
                 Attempt ended = attempt;
+                learn(true);
                 release();
                 listener.onAnswer(ended, reason, null);
             }
--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -48,6 +48,35 @@
         }
     }
 
+    /** A host forgets connections after 120 ms and resets them as they are used: unsafe work was lost each time. */
+    @Test
+    void unsafeRequestsKeepOffConnectionsOfAnAgeThatWasReset() throws Exception {
+        FakeHost[] host = new FakeHost[1];
+        host[0] = new FakeHost(peer -> {
+            long answeredAt = 0;
+            for (String command = host[0].next(peer); command != null; command = host[0].next(peer)) {
+                if (answeredAt != 0 && System.nanoTime() - answeredAt > 120_000_000L) {
+                    peer.reset();
+                    return;
+                }
+                peer.write(FakeHost.served(command));
+                answeredAt = System.nanoTime();
+            }
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            assertEquals("HD O2 c77", client.ask(Rig.COPY));
+            Thread.sleep(150);
+            assertEquals("SERVER_ERROR failed", client.ask(Rig.COPY), "it may have run: this is how it is learnt");
+            assertEquals("HD O2 c77", client.ask(Rig.COPY));
+            for (int i = 0; i < 5; i++) {
+                Thread.sleep(150);
+                assertEquals("HD O2 c77", client.ask(Rig.COPY), "on a new connection");
+                assertEquals("HD O2 c77", client.ask(Rig.COPY), "a young one is used again");
+            }
+            assertTrue(host[0].connections.get() >= 7, "connections: " + host[0].connections.get());
+        }
+    }
+
     @Test
     void whatWasCutWhileItsConnectionCameUpIsNeverWritten() throws Exception {
         try (FullHost host = new FullHost(); Rig rig = new Rig()) {
