Tests of a mass time-out while requests are open, and of a stop with everybody idle

Two of the hard cases of connections at scale had no test. A hundred thousand idle connections that fall due together are closed 64 a turn and nobody who is served is touched; a stop with fifty idle clients ends all of them orderly.

--- a/src/test/java/eiderscale/connections/ConnectionTableTest.java
+++ b/src/test/java/eiderscale/connections/ConnectionTableTest.java
@@ -237,6 +237,50 @@
         assertEquals(MOST / 2, world.table.size(), "their time is up after 2 s");
     }
 
+    /** A hundred thousand that fall due together are closed a few in a turn, and nobody who is served is. */
+    @Test
+    void aMassTimeOutIsSpreadAndTouchesNobodyWhoIsServed() {
+        TimingWheel wheel = new TimingWheel(50 * MS, 0);
+        int[] closed = new int[1];
+        List<Member<Integer>> members = new ArrayList<>();
+        List<ConnectionTable<Integer>> self = new ArrayList<>();
+        ConnectionTable<Integer> table = new ConnectionTable<>(ConnectionLimits.of(200_000, 16, Integer.MAX_VALUE, 0,
+                20_000 * MS), wheel, (number, why) -> {
+                    assertEquals(Why.IDLE, why);
+                    assertTrue(number >= 50, "one that is served");
+                    closed[0]++;
+                    self.get(0).gone(members.get(number));
+                    return true;
+                });
+        self.add(table);
+        for (int i = 0; i < 100_050; i++) {
+            Member<Integer> member = table.admit(i, "a", 0);
+            members.add(member);
+            table.busy(member);
+            table.spoke(member);
+            table.rest(member, 0);
+        }
+        for (int i = 0; i < 50; i++) {
+            table.busy(members.get(i));
+        }
+        long now = 25_000 * MS;
+        int turns = 0;
+        while (table.size() > 50) {
+            int before = closed[0];
+            wheel.advance(now, 64);
+            assertTrue(closed[0] - before <= 64);
+            turns++;
+            assertTrue(turns < 10_000, "closed: " + closed[0]);
+        }
+        assertTrue(turns >= 100_000 / 64);
+        for (int i = 0; i < 50; i++) {
+            assertEquals(Member.State.BUSY, members.get(i).state());
+            table.rest(members.get(i), now);
+        }
+        wheel.advance(now + 19_000 * MS, 1_000);
+        assertEquals(50, table.size(), "their time begins when they are answered");
+    }
+
     @Test
     void oneSourceCannotTakeTheOthersPlaces() {
         World world = new World(0, 3);
--- a/src/test/java/eiderscale/net/ClosingTest.java
+++ b/src/test/java/eiderscale/net/ClosingTest.java
@@ -162,6 +162,25 @@
         }
     }
 
+    @Test
+    void aStopWithEverybodyIdleTellsAllAndEnds() throws Exception {
+        List<Peer> clients = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.sockets = SOCKETS;
+            rig.start();
+            for (int i = 0; i < 50; i++) {
+                clients.add(rig.client());
+                assertEquals("MN", clients.get(i).ask("mn"));
+            }
+            io.netty.util.concurrent.Future<?> stopped = rig.loop.submit(rig.node::stop).get();
+            for (Peer client : clients) {
+                assertNull(client.lineOrReset(), "an orderly end");
+                client.close();
+            }
+            assertTrue(stopped.await(Peer.LIMIT_MS));
+        }
+    }
+
     /** A stop is such a close for all connections at once. */
     @Test
     void commandsThatComeInTheTurnOfAStopAreServed() throws Exception {
