--- a/src/main/java/eiderscale/connections/ConnectionTable.java
+++ b/src/main/java/eiderscale/connections/ConnectionTable.java
@@ -10,7 +10,8 @@
  * <ol>
  * <li>one that has yet to speak, or has brought a bad command: for room, when its time is up, half a command or not;
  * <li>one with half a command: when that has not become whole in its time;
- * <li>an idle one: for room, for ease, or when it has been idle for too long, if a last look finds nothing on it;
+ * <li>an idle one: for room, for ease, when it has been idle for too long, or as all are to go, if a last look finds
+ *     nothing on it;
  * <li>one that is closing: when its client takes no notice in its time.
  * </ol>
  *
@@ -29,6 +30,8 @@
         SILENCE,
         /** Nothing has been asked for too long. */
         IDLE,
+        /** All are to go. */
+        STOP,
         /** Its client has not taken notice of the close. */
         FAREWELL
     }
@@ -55,6 +58,8 @@
     private final Line<C> lingering = new Line<>();
     /** Those that came while there was no room, and have not been given any yet. */
     private final Line<C> waiting = new Line<>();
+    /** Those that had no command when a stop began, and have not been told to go yet. */
+    private final Line<C> parting = new Line<>();
     /** Connections by source; empty where sources are not limited. */
     private final Map<Object, Integer> sources = new HashMap<>();
     private int size;
@@ -221,6 +226,43 @@
         }
     }
 
+    /** All are to go: from here on {@link #closeResting} closes those that have no command. */
+    public void stop() {
+        move(idle);
+        move(doubtful);
+        for (Member<C> member = waiting.first; member != null;) {
+            Member<C> next = member.behind;
+            if (member.state != State.BUSY) {
+                Line.leave(member);
+                parting.add(member);
+            }
+            member = next;
+        }
+    }
+
+    private void move(Line<C> line) {
+        while (line.first != null) {
+            Member<C> member = line.first;
+            Line.leave(member);
+            parting.add(member);
+        }
+    }
+
+    /**
+     * Tells those that had no command when the stop began to go, this many at most; true if more are left. One on
+     * which a last look finds a command, or half of one, stays until that is answered.
+     */
+    public boolean closeResting(int most) {
+        for (int i = 0; i < most && parting.first != null; i++) {
+            Member<C> member = parting.first;
+            Line.leave(member);
+            if (!closer.close(member.connection, Why.STOP) && member.line == null && member.state != State.BUSY) {
+                line(member).add(member);
+            }
+        }
+        return parting.first != null;
+    }
+
     private boolean evictFor(Member<C> late, long now) {
         // In a crowd that says nothing all are young: good idle connections must not make room for it.
         long least = doubtful.size > limits.most() / CROWD_PART ? 0 : limits.young();
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -6,15 +6,17 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
-import java.util.ArrayDeque;
-import java.util.Queue;
+import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.concurrent.TimeUnit;
 
-/** One client's connection: reads its commands, writes their answers in the order of the commands, and closes. */
-final class ClientConnection extends SimpleChannelInboundHandler<MetaFrame> {
+/**
+ * One client's connection: reads its commands, writes their answers in the order of the commands, and closes. An idle
+ * one holds no buffer, no parser and no queue: it is the one handler in its pipeline.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Requests of one connection that may be open at once; reading stops there. */
     private static final int MOST_PIPELINED = 64;
     /** Bytes of answers, over all connections, that clients may leave unread. */
@@ -25,8 +27,14 @@
 
     private final ClientServer server;
     private final SocketChannel channel;
-    private final MetaDecoder decoder;
-    private final Queue<Slot> slots = new ArrayDeque<>(2);
+    /** What has come and is not read as commands yet; null if there is nothing. */
+    private ByteBuf held;
+    /** Null between two commands. */
+    private MetaParser parser;
+    /** Commands that are owed an answer, in their order. */
+    private Slot first;
+    private Slot last;
+    private int open;
     /** Null until it was let in, and for one that was turned away. */
     private Member<ClientConnection> member;
     private int faults;
@@ -36,6 +44,7 @@
     private boolean leaving;
     private boolean gone;
     private boolean reading;
+    private boolean parsing;
     /** The command that was read last, and its place, until it is begun. */
     private Slot pending;
     private MetaFrame pendingFrame;
@@ -45,6 +54,7 @@
         private final ClientConnection connection;
         private ByteBuf answer;
         private Exchange exchange;
+        private Slot next;
 
         Slot(ClientConnection connection) {
             this.connection = connection;
@@ -60,10 +70,9 @@
         }
     }
 
-    ClientConnection(ClientServer server, SocketChannel channel, MetaDecoder decoder) {
+    ClientConnection(ClientServer server, SocketChannel channel) {
         this.server = server;
         this.channel = channel;
-        this.decoder = decoder;
     }
 
     @Override
@@ -84,18 +93,18 @@
     boolean closeUnlessAsked(Why why) {
         if (why == Why.FAREWELL) {
             channel.close();
-            server.gone(this, member);
+            server.gone(member);
             return true;
         }
-        boolean gently = why != Why.SILENCE && (member.state() == Member.State.IDLE || why == Why.IDLE);
+        boolean gently = why == Why.STOP || why == Why.IDLE
+                || why != Why.SILENCE && member.state() == Member.State.IDLE;
         if (channel.config().isAutoRead()) {
             ((AbstractNioChannel) channel).unsafe().read();
         }
         if (gone) {
             return true;
         }
-        boolean asked = !slots.isEmpty() || pending != null;
-        if (asked || gently && !decoder.isClean()) {
+        if (open > 0 || gently && !isClean()) {
             return false;
         }
         if (gently) {
@@ -103,7 +112,7 @@
         } else {
             // Counted out now, as the channel reports its end only later: a burst would evict but one.
             gone = true;
-            server.gone(this, member);
+            server.gone(member);
             channel.close();
         }
         return true;
@@ -113,29 +122,86 @@
     private void linger() {
         quitting = true;
         leaving = true;
+        dropHeld();
         server.closing(member, true);
         channel.config().setAutoRead(true);
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.shutdownOutput());
     }
 
-    /** The server stops: closes at once if nothing is open, and otherwise behind the last answer. */
-    void windUp() {
-        if (!gone && !leaving && slots.isEmpty()) {
-            closeUnlessAsked(Why.IDLE);
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        if (gone || quitting) {
+            bytes.release();
+            return;
         }
+        held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
+        parse();
     }
 
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, MetaFrame frame) {
-        begin();
-        if (quitting) {
+    /** Whether one more command may be taken in now. */
+    private boolean mayRead() {
+        return !gone && !quitting && open < MOST_PIPELINED && channel.isWritable() && Clock.now() >= pausedUntil;
+    }
+
+    /** Takes commands out of what has come, as many as may be. */
+    private void parse() {
+        if (parsing || held == null) {
             return;
         }
+        parsing = true;
+        if (parser == null) {
+            parser = server.parser();
+        }
+        MetaFrame frame = mayRead() ? parser.next(held) : null;
+        while (frame != null) {
+            Slot slot = pending;
+            MetaFrame before = pendingFrame;
+            // In its place before the last one may be answered: a stop would close upon it.
+            add(frame);
+            begin(slot, before);
+            frame = mayRead() ? parser.next(held) : null;
+        }
+        parsing = false;
+        if (gone || quitting) {
+            dropHeld();
+        } else if (!held.isReadable()) {
+            held.release();
+            held = null;
+        }
+        if (parser != null && parser.isBetweenFrames()) {
+            parser = null;
+        }
+    }
+
+    private void add(MetaFrame frame) {
         server.busy(member);
         pending = new Slot(this);
         pendingFrame = frame;
-        slots.add(pending);
-        server.loop().execute(this::begin);
+        if (first == null) {
+            first = pending;
+        } else {
+            last.next = pending;
+        }
+        last = pending;
+        open++;
+        server.loop().execute(this::beginPending);
+    }
+
+    /** Whether not a byte of a further command is here. */
+    private boolean isClean() {
+        return held == null && parser == null;
+    }
+
+    private void dropHeld() {
+        if (held != null) {
+            held.release();
+            held = null;
+        }
+        if (parser != null) {
+            parser.close();
+            parser = null;
+        }
     }
 
     /**
@@ -145,11 +211,15 @@
      * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
      * Harm: a client that only closes its sending side is not answered, as ever.
      */
-    private void begin() {
+    private void beginPending() {
         Slot slot = pending;
         MetaFrame frame = pendingFrame;
         pending = null;
         pendingFrame = null;
+        begin(slot, frame);
+    }
+
+    private void begin(Slot slot, MetaFrame frame) {
         if (slot == null || gone) {
             return;
         }
@@ -158,7 +228,10 @@
             return;
         }
         reading = true;
-        if (frame.fault() != null) {
+        if (quitting) {
+            // Behind the last one that is served.
+            slot.answer = Unpooled.EMPTY_BUFFER;
+        } else if (frame.fault() != null) {
             fault(slot, frame.fault(), frame.last());
         } else {
             take(slot, frame);
@@ -175,7 +248,7 @@
 
     private void tellHalf() {
         if (member != null && !quitting) {
-            server.half(member, slots.isEmpty() && !decoder.isClean());
+            server.half(member, open == 0 && !isClean());
         }
     }
 
@@ -201,8 +274,8 @@
                 slot.answer("MN\r\n", null);
             }
             case "quit" -> {
-                slots.remove(slot);
                 quitting = true;
+                slot.answer = Unpooled.EMPTY_BUFFER;
             }
             default -> fault(slot, "ERROR", false);
         }
@@ -229,8 +302,10 @@
             return;
         }
         boolean wrote = false;
-        while (!slots.isEmpty() && slots.peek().answer != null) {
-            ByteBuf answer = slots.poll().answer;
+        while (first != null && first.answer != null) {
+            ByteBuf answer = first.answer;
+            first = first.next;
+            open--;
             int bytes = answer.readableBytes();
             channel.write(answer).addListener(done -> server.unread(-bytes));
             wrote = true;
@@ -243,16 +318,16 @@
 
     /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
     void adjust() {
+        parse();
         if (gone || leaving) {
             return;
         }
-        if (slots.isEmpty() && server.isClosing() && !quitting && closeUnlessAsked(Why.IDLE)) {
+        if (open == 0 && server.isClosing() && !quitting && closeUnlessAsked(Why.STOP)) {
             return;
         }
-        if (slots.isEmpty() && quitting) {
+        if (open == 0 && quitting) {
             // Behind what is still being written: a close at once would cut a long answer short.
             leaving = true;
-            quitting = true;
             server.closing(member, false);
             channel.config().setAutoRead(false);
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -260,12 +335,11 @@
             // A client that does not read its answers must not take the memory of the others.
             channel.close();
         } else {
-            if (slots.isEmpty()) {
+            if (open == 0) {
                 server.rest(member);
                 tellHalf();
             }
-            channel.config().setAutoRead(!quitting && slots.size() < MOST_PIPELINED && channel.isWritable()
-                    && Clock.now() >= pausedUntil);
+            channel.config().setAutoRead(mayRead());
         }
     }
 
@@ -278,9 +352,10 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         gone = true;
         if (member != null) {
-            server.gone(this, member);
+            server.gone(member);
         }
-        for (Slot slot : slots) {
+        dropHeld();
+        for (Slot slot = first; slot != null; slot = slot.next) {
             if (slot.answer != null) {
                 server.unread(-slot.answer.readableBytes());
                 slot.answer.release();
@@ -288,7 +363,8 @@
                 server.clientGone(slot.exchange);
             }
         }
-        slots.clear();
+        first = null;
+        open = 0;
     }
 
     @Override
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -14,16 +14,14 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.flow.FlowControlHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Listens for clients, and carries out on their sockets what the table of connections decides. */
@@ -49,7 +47,13 @@
     private final Budget budget;
     private final TimingWheel wheel = new TimingWheel(TICK, Clock.now());
     private final ConnectionTable<ClientConnection> table;
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /**
+     * One for all connections, as nothing in it lasts from one connection's reads to the next but a guess at how much
+     * comes. It reads on behind a short read: that is where the end of a connection shows.
+     */
+    private final RecvByteBufAllocator.ExtendedHandle reads = (RecvByteBufAllocator.ExtendedHandle)
+            new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ)
+            .respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE).newHandle();
     private final List<Channel> servers = new ArrayList<>();
     private boolean roomWanted;
     private long unread;
@@ -73,17 +77,12 @@
                 .option(ChannelOption.RCVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR,
-                        // Read on behind a short read: that is where the end of a connection shows.
-                        new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ).respectMaybeMoreData(false)
-                                .maxMessagesPerRead(READS_AT_ONCE))
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, () -> reads)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel fresh) {
-                        MetaDecoder decoder = MetaDecoder.ofCommands(budget);
-                        fresh.pipeline().addLast(decoder, new FlowControlHandler(),
-                                new ClientConnection(ClientServer.this, fresh, decoder));
+                        fresh.pipeline().addLast(new ClientConnection(ClientServer.this, fresh));
                     }
                 }).bind(address);
         servers.add(bound.channel());
@@ -104,7 +103,15 @@
     void close() {
         closing = true;
         servers.forEach(Channel::close);
-        List.copyOf(connections).forEach(ClientConnection::windUp);
+        table.stop();
+        closeResting();
+    }
+
+    /** Those with a command that is not answered close behind the answer. */
+    private void closeResting() {
+        if (table.closeResting(MOST_CLOSES)) {
+            loop.execute(this::closeResting);
+        }
     }
 
     /** Of these, those that have been told to go and are waited for. */
@@ -113,7 +120,7 @@
     }
 
     int clients() {
-        return connections.size();
+        return table.size();
     }
 
     /**
@@ -174,7 +181,6 @@
             counters.turnedAway++;
             return null;
         }
-        connections.add(connection);
         wantRoom();
         return member;
     }
@@ -205,11 +211,14 @@
         wantRoom();
     }
 
-    void gone(ClientConnection connection, Member<ClientConnection> member) {
-        connections.remove(connection);
+    void gone(Member<ClientConnection> member) {
         table.gone(member);
     }
 
+    MetaParser parser() {
+        return MetaParser.ofCommands(budget);
+    }
+
     Exchange take(MetaFrame frame, Exchange.Client client) throws Command.Malformed {
         return balancer.take(new Command(frame, balancer.site(), balancer::ownId), client);
     }
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -210,7 +210,7 @@
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
     final class Link extends SimpleChannelInboundHandler<MetaFrame> {
         private final Host host;
-        private final MetaDecoder decoder = MetaDecoder.ofAnswers(budget);
+        private final MetaDecoder decoder = new MetaDecoder(MetaParser.ofAnswers(budget));
         private Channel channel;
         private Attempt attempt;
         /** The write of the present attempt; done when its last byte has left. */
--- a/src/test/java/eiderscale/net/BadInputTest.java
+++ b/src/test/java/eiderscale/net/BadInputTest.java
@@ -136,12 +136,12 @@
     @Test
     void memoryIsTakenForWhatArrivesAndNoMore() throws Exception {
         Budget budget = new Budget(70_000);
-        EmbeddedChannel channel = new EmbeddedChannel(MetaDecoder.ofCommands(budget));
+        EmbeddedChannel channel = new EmbeddedChannel(new MetaDecoder(MetaParser.ofCommands(budget)));
         write(channel, "ms 1 65536 O1\r\n");
         assertEquals(0, budget.held());
         write(channel, "x".repeat(3_000));
         assertEquals(3_000, budget.held());
-        EmbeddedChannel other = new EmbeddedChannel(MetaDecoder.ofCommands(budget));
+        EmbeddedChannel other = new EmbeddedChannel(new MetaDecoder(MetaParser.ofCommands(budget)));
         write(other, "ms 1 65536 O1\r\n" + "y".repeat(40_000));
         write(channel, "x".repeat(62_536) + "\r\n");
         MetaFrame frame = channel.readInbound();
