Requests' timers stand in a wheel that the loop drives by one task

Cause: each request set a last call and a cut for each attempt as tasks of the loop, most of which were cancelled: an object, a closure and two steps in a heap for each.

--- a/src/main/java/eiderscale/net/Attempt.java
+++ b/src/main/java/eiderscale/net/Attempt.java
@@ -1,17 +1,18 @@
 package eiderscale.net;
 
-import io.netty.util.concurrent.Future;
+import eiderscale.connections.TimingWheel;
 
-/** One send of a request to a cache host; numbered by its place among the request's sends. */
-final class Attempt {
+/**
+ * One send of a request to a cache host; numbered by its place among the request's sends. It is the timer that ends
+ * the wait at {@link #cutAt}.
+ */
+final class Attempt extends TimingWheel.Timer {
     final Exchange exchange;
     final int number;
     final long sentAt;
     final long cutAt;
     /** Set once, with the attempt's one outcome. */
     boolean over;
-    /** Ends the wait at {@link #cutAt}. */
-    Future<?> cut;
     /** The connection that carries it, or will once it is up; null before and after. */
     HostPool.Link link;
 
@@ -26,4 +27,9 @@
     boolean written() {
         return link != null && link.written();
     }
+
+    @Override
+    protected void fire(long now) {
+        exchange.generation.balancer().cut(this);
+    }
 }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -5,6 +5,7 @@
 import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Api.Reason;
+import eiderscale.connections.TimingWheel;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -18,7 +19,6 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Stands between the sockets and the decision module: the ledger of open requests and their attempts, and
@@ -52,7 +52,7 @@
     private final Map<Long, Catalog.Member> members = new LinkedHashMap<>();
     private final Module maker;
     private final SplittableRandom seeds;
-    private final EventLoop loop;
+    private final Timers timers;
     private final Counters counters;
     private final HostPool pool;
     private final Discovery discovery;
@@ -68,7 +68,7 @@
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
              int mostConnections) {
         this.budget = budget;
-        this.loop = loop;
+        this.timers = new Timers(loop, counters);
         this.counters = counters;
         this.pool = new HostPool(config.site(), loop, counters, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
@@ -106,8 +106,7 @@
         exchanges.put(exchange.id, exchange);
         current.exchanges++;
         openIds.add(command.opaque);
-        exchange.lastCall = loop.schedule(() -> lastCall(exchange), deadline + LAST_CALL - now,
-                TimeUnit.NANOSECONDS);
+        timers.set(exchange, deadline + LAST_CALL);
         Api.Request request = new Api.Request(exchange.id, command.requestClass, command.tenant,
                 command.keyNumber(), deadline, command.work, command.repeat, command.write);
         post(exchange, () -> exchange.generation.module.onRequest(Clock.now(), request));
@@ -206,7 +205,7 @@
     }
 
     String gauges() {
-        return "open " + open() + " ledger " + exchanges.size() + " " + pool.gauges();
+        return "open " + open() + " ledger " + exchanges.size() + " timers " + timers.size() + " " + pool.gauges();
     }
 
     /** Closes what the pool holds idle for too long; called once in a while. */
@@ -256,7 +255,7 @@
     }
 
     /** The module has not answered in time; whatever the reason, the client must not be left without. */
-    private void lastCall(Exchange exchange) {
+    void lastCall(Exchange exchange) {
         if (!exchange.over) {
             counters.lastCalls++;
             settle(exchange);
@@ -292,9 +291,7 @@
             return;
         }
         attempt.over = true;
-        if (attempt.cut != null) {
-            attempt.cut.cancel(false);
-        }
+        timers.cancel(attempt);
         counters.outcome(reason);
         Exchange exchange = attempt.exchange;
         exchange.mayHaveRun |= !reason.neverRan;
@@ -333,6 +330,7 @@
         if (!exchange.close()) {
             return false;
         }
+        timers.cancel(exchange);
         if (exchanges.containsKey(exchange.id)) {
             openIds.remove(exchange.command.opaque);
         }
@@ -359,12 +357,13 @@
         } else if (now >= cut) {
             end(attempt, Reason.TIMEOUT, null);
         } else {
-            attempt.cut = loop.schedule(() -> cut(attempt), cut - now, TimeUnit.NANOSECONDS);
+            timers.set(attempt, cut);
             pool.send(attempt, server);
         }
     }
 
-    private void cut(Attempt attempt) {
+    /** The wait for an attempt is over. */
+    void cut(Attempt attempt) {
         counters.timer(Clock.now() - attempt.cutAt);
         // What never left cannot have run: its connection did not come up in time.
         drop(attempt, attempt.written() ? Reason.TIMEOUT : Reason.CONNECT_FAILED);
@@ -394,11 +393,13 @@
     }
 
     void wakeAt(Generation generation, long moment, int token) {
-        long delay = Math.max(0, moment - Clock.now());
-        loop.schedule(() -> {
-            counters.timer(Clock.now() - moment);
-            post(null, () -> generation.module.onTimer(Clock.now(), token));
-        }, delay, TimeUnit.NANOSECONDS);
+        timers.set(new TimingWheel.Timer() {
+            @Override
+            protected void fire(long now) {
+                counters.timer(now - moment);
+                post(null, () -> generation.module.onTimer(Clock.now(), token));
+            }
+        }, moment);
     }
 
     void closeIdle(long server) {
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -1,11 +1,11 @@
 package eiderscale.net;
 
-import io.netty.util.concurrent.Future;
+import eiderscale.connections.TimingWheel;
 import java.util.ArrayList;
 import java.util.List;
 
-/** A request that was taken, from its arrival until the outcome of its last attempt. */
-final class Exchange {
+/** A request that was taken, from its arrival until the outcome of its last attempt; the timer of its last call. */
+final class Exchange extends TimingWheel.Timer {
     /** Where the one final answer goes. */
     interface Client {
         void answer(String line, byte[] data);
@@ -24,7 +24,6 @@
     boolean over;
     /** Some attempt may have run. */
     boolean mayHaveRun;
-    Future<?> lastCall;
 
     Exchange(long id, Command command, Generation generation, long deadline, Client client) {
         this.id = id;
@@ -38,9 +37,11 @@
     boolean close() {
         boolean first = !over;
         over = true;
-        if (first && lastCall != null) {
-            lastCall.cancel(false);
-        }
         return first;
     }
+
+    @Override
+    protected void fire(long now) {
+        generation.balancer().lastCall(this);
+    }
 }
--- a/src/main/java/eiderscale/net/Generation.java
+++ b/src/main/java/eiderscale/net/Generation.java
@@ -20,6 +20,10 @@
         this.module = maker.create(site.settings, seed, this);
     }
 
+    Balancer balancer() {
+        return balancer;
+    }
+
     @Override
     public void send(long request, long server, long cutAt) {
         balancer.send(request, server, cutAt);
