--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -45,6 +45,7 @@
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
+    private static final long TELL_AGAIN = 5 * Clock.SECOND;
     private static final int MOST_BYTES = 4 * 1024 * 1024;
 
     private InetSocketAddress address;
@@ -54,6 +55,8 @@
     private long rev;
     /** Versions are one service's own: after a move the first call asks for the whole list. */
     private boolean moved;
+    private long toldAt = Clock.now() - TELL_AGAIN;
+    private int untold;
     /** The call that is out or about to begin; null while nobody watches. */
     private Call current;
 
@@ -97,6 +100,18 @@
         current.start();
     }
 
+    /** Where discovery refuses, it is asked again every few milliseconds: told in part, lest that fills the log. */
+    private void tell(String why) {
+        long now = Clock.now();
+        if (now - toldAt < TELL_AGAIN) {
+            untold++;
+            return;
+        }
+        Counters.log("discovery failed: " + why + (untold > 0 ? " (and " + untold + " times before)" : ""));
+        toldAt = now;
+        untold = 0;
+    }
+
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private long begun;
@@ -125,6 +140,8 @@
             channel = up.channel();
             up.addListener(done -> {
                 if (!done.isSuccess()) {
+                    // Without a descriptor for it the channel never had a loop, and can't be closed.
+                    channel = null;
                     fail("no connection: " + done.cause().getMessage());
                 }
             });
@@ -200,7 +217,7 @@
             }
             drop();
             current = null;
-            Counters.log("discovery failed: " + why);
+            tell(why);
             listener.onList(ListMode.FAILED, List.of());
         }
     }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -1,6 +1,7 @@
 package eiderscale.net;
 
 import eiderscale.config.Catalog;
+import eiderscale.config.ClientLimits;
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
 import eiderscale.config.DescriptorPlan;
@@ -42,15 +43,16 @@
         this.loop = loop;
         budget = new Budget(config.heldBytes());
         DescriptorPlan plan = config.plan();
+        ClientLimits clients = config.clients();
         balancer = new Balancer(config, loop, counters, module, budget, plan.links());
         server = new ClientServer(balancer, loop, counters, budget,
-                ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), config.perSource(),
-                        config.clientIdle()));
+                ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), clients.perSource(),
+                        clients.perTenant(), clients.idle()), clients.halfClose());
     }
 
     /** Begins to listen at its first address: from then on it is ready to serve. */
     public ChannelFuture start() {
-        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::sweepSafely, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return listen(config.listeners().get(0));
     }
 
@@ -59,6 +61,15 @@
         return server.listen(address);
     }
 
+    /** The loop drops a task that throws, and with this one connections would never be closed again. */
+    private void sweepSafely() {
+        try {
+            sweep();
+        } catch (RuntimeException | LinkageError e) {
+            counters.unexpected("in the sweep", e);
+        }
+    }
+
     void sweep() {
         balancer.sweep();
         server.sweep(SWEEP_MS * Clock.MILLISECOND);
