A tenant's share of connections, and clients that end their sending and wait

Need: a tenant that opens connections without end took the places of the others; a client that half-closes behind its commands got no answers. Change: limits.clients-per-tenant (a connection counts for the tenant of its last request; past the limit the request is refused with a wait and the connection closed) and clients.half-close (true in applications' files, as with the usual proxies; never on the platform, where the end of sending is the client's end). Shares counts for sources and tenants alike.

--- a/src/main/java/eiderscale/config/Application.java
+++ b/src/main/java/eiderscale/config/Application.java
@@ -155,8 +155,14 @@
         Values pool = values.table("pool");
         return new Config(name(), listeners, source == Source.DISCOVERY ? (InetSocketAddress) pool.get("discovery")
                 : null, seed, plan(values),
-                (int) values.table("limits").whole("clients-per-source"), values.table("clients").whole("idle"),
-                values.table("limits").whole("values"), site, new Catalog(0, true, members(hosts, site)));
+                clientLimits(), values.table("limits").whole("values"), site, new Catalog(0, true, members(hosts, site)));
+    }
+
+    private ClientLimits clientLimits() {
+        Values limits = values.table("limits");
+        Values clients = values.table("clients");
+        return new ClientLimits((int) limits.whole("clients-per-source"), (int) limits.whole("clients-per-tenant"),
+                clients.whole("idle"), clients.flag("half-close"));
     }
 
     static List<Catalog.Member> members(List<Host> hosts, Site site) {
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -114,6 +114,13 @@
             report.error("limits.clients-per-source", "is more than the " + plan.clients() + " that all clients may "
                     + "have", "at most that many, or 0", "limits.clients", "limits.descriptors");
         }
+        if (limits.whole("clients-per-tenant") > plan.clients()) {
+            report.error("limits.clients-per-tenant", "is more than the " + plan.clients() + " that all clients may "
+                    + "have", "at most that many, or 0", "limits.clients", "limits.descriptors");
+        } else if (limits.whole("clients-per-tenant") > 0 && app.values().tables("tenants").isEmpty()) {
+            report.error("limits.clients-per-tenant", "needs tenants to count for", "0, or a list of [[tenants]]",
+                    "tenants");
+        }
         if (limits.has("clients") && limits.whole("clients") + plan.surplus() >= limits.whole("descriptors") * 3 / 4) {
             report.error("limits.clients", "leaves too few of " + limits.whole("descriptors") + " descriptors for "
                     + "hosts", "under three quarters of limits.descriptors", "limits.descriptors");
--- a/src/main/java/eiderscale/config/PlatformReader.java
+++ b/src/main/java/eiderscale/config/PlatformReader.java
@@ -28,8 +28,8 @@
                     List.of(Catalog.address(Json.get(json, "listen", String.class))),
                     Catalog.address(Json.get(json, "discovery", String.class)),
                     Long.parseUnsignedLong(Json.get(json, "seed", String.class, "0"), 16),
-                    DescriptorPlan.of(Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue()), 0,
-                    CLIENT_IDLE, HELD_BYTES, site,
+                    DescriptorPlan.of(Json.get(limits, "sockets", Number.class, DEFAULT_SOCKETS).intValue()),
+                    ClientLimits.of(CLIENT_IDLE), HELD_BYTES, site,
                     Catalog.parse(known, site));
         } catch (NumberFormatException e) {
             throw new ConfigException("'seed' is no hexadecimal number");
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -55,6 +55,9 @@
                             Key.of("clients-per-source", Type.WHOLE, "Connections that one client address may "
                                     + "have, lest it takes the places of the others; 0 for any number.").or(0L)
                                     .within(0, 1e6).atRestart(),
+                            Key.of("clients-per-tenant", Type.WHOLE, "Connections on which one tenant may ask; on "
+                                    + "a further one it is refused. 0 for any number.").or(0L).within(0, 1e6)
+                                    .atRestart(),
                             Key.of("open-requests", Type.WHOLE, "Requests open at one time; more are refused.")
                                     .or(400L).within(1, 1e6),
                             Key.of("values", Type.SIZE, "Values of writes held at one time.").or(8 * MB)
@@ -69,6 +72,8 @@
                             Key.of("ease", Type.FLAG, "Whether those idle for 100 ms are closed, the longest idle "
                                     + "first, while more than three quarters of limits.clients are open.")
                                     .or(false).atRestart(),
+                            Key.of("half-close", Type.FLAG, "Whether a client that has ended its sending still gets "
+                                    + "its answers; otherwise it counts as gone.").or(true).atRestart(),
                             Key.of("retries", Type.WHOLE, "How often clients try again by themselves.").or(0L)
                                     .within(0, 20)),
                     section("pool", false, "The cache hosts.",
--- a/src/main/java/eiderscale/connections/ConnectionTable.java
+++ b/src/main/java/eiderscale/connections/ConnectionTable.java
@@ -1,8 +1,6 @@
 package eiderscale.connections;
 
 import eiderscale.connections.Member.State;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
  * Who of the clients is connected, and who has to go. The rules by which a connection may be closed:
@@ -60,8 +58,8 @@
     private final Line<C> waiting = new Line<>();
     /** Those that had no command when a stop began, and have not been told to go yet. */
     private final Line<C> parting = new Line<>();
-    /** Connections by source; empty where sources are not limited. */
-    private final Map<Object, Integer> sources = new HashMap<>();
+    private final Shares sources;
+    private final Shares tenants;
     private int size;
     private long lateUntil = Long.MIN_VALUE;
 
@@ -70,6 +68,8 @@
         this.limits = limits;
         this.wheel = wheel;
         this.closer = closer;
+        this.sources = new Shares(limits.perSource());
+        this.tenants = new Shares(limits.perTenant());
     }
 
     /** Connections that are not gone. */
@@ -95,12 +95,8 @@
         if (size - lingering.size >= limits.most() + limits.surplus()) {
             return null;
         }
-        if (limits.perSource() > 0) {
-            int held = sources.getOrDefault(source, 0);
-            if (held >= limits.perSource()) {
-                return null;
-            }
-            sources.put(source, held + 1);
+        if (!sources.take(source)) {
+            return null;
         }
         Member<C> member = new Member<>(this, connection, source, now);
         size++;
@@ -124,6 +120,24 @@
         }
     }
 
+    /**
+     * A request of a tenant has been read from it: it counts for that tenant from here on, until it brings one of
+     * another. False, and nothing changed, if the tenant has as many as it may: the request is to be refused.
+     */
+    public boolean asksFor(Member<C> member, Object tenant) {
+        if (limits.perTenant() == 0 || tenant.equals(member.tenant)) {
+            return true;
+        }
+        if (member.state == State.GONE || !tenants.take(tenant)) {
+            return false;
+        }
+        if (member.tenant != null) {
+            tenants.giveBack(member.tenant);
+        }
+        member.tenant = tenant;
+        return true;
+    }
+
     /** A good command has been read from it. */
     public void spoke(Member<C> member) {
         member.spoke = true;
@@ -191,8 +205,9 @@
         Line.leave(member);
         wheel.cancel(member);
         size--;
-        if (limits.perSource() > 0) {
-            sources.computeIfPresent(member.source, (source, held) -> held > 1 ? held - 1 : null);
+        sources.giveBack(member.source);
+        if (member.tenant != null) {
+            tenants.giveBack(member.tenant);
         }
     }
 
--- a/src/main/java/eiderscale/connections/Member.java
+++ b/src/main/java/eiderscale/connections/Member.java
@@ -24,6 +24,8 @@
 
     final C connection;
     final Object source;
+    /** The tenant of its last request; null before the first. */
+    Object tenant;
     private final ConnectionTable<C> table;
     State state = State.FRESH;
     boolean spoke;
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -35,6 +35,7 @@
     private static final long WAYS = 6 * Clock.MILLISECOND;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
+    private static final String BUSY = "SERVER_ERROR busy\r\n";
 
     /** Makes the decision module, given where its actions go. */
     interface Module {
@@ -100,7 +101,7 @@
         // Running out of room is told to the client: a refusal of what never went out does no harm.
         if (open() >= current.site.maxOpen || !budget.take(bytes(command))) {
             counters.localRefusals++;
-            answerRefused(exchange, 0);
+            answerRefused(exchange, BUSY);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
@@ -272,7 +273,7 @@
             if (mayRun) {
                 answerFailed(exchange);
             } else {
-                answerRefused(exchange, 0);
+                answerRefused(exchange, BUSY);
             }
             post(exchange, () -> exchange.generation.module.onClientGone(Clock.now(), exchange.id));
         }
@@ -308,10 +309,21 @@
         });
     }
 
-    private void answerRefused(Exchange exchange, long retryAfterMs) {
+    private void answerRefused(Exchange exchange, String line) {
         counters.refused++;
-        answer(exchange, retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n",
-                null);
+        answer(exchange, line, null);
+    }
+
+    /** A refusal that tells a wait, in nanoseconds, as far as the settings allow. */
+    private static String busy(Site site, long retryAfter) {
+        long most = site.settings.retryAfter() ? Math.min(retryAfter, site.settings.maxRetryAfter()) : 0;
+        long ms = (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND;
+        return ms > 0 ? "SERVER_ERROR busy " + ms + "\r\n" : BUSY;
+    }
+
+    /** The same for what has no exchange. */
+    String busy(long retryAfter) {
+        return busy(current.site, retryAfter);
     }
 
     private void answerFailed(Exchange exchange) {
@@ -379,9 +391,7 @@
     void refuse(long request, long retryAfter) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
-            Api.Settings settings = exchange.generation.site.settings;
-            long most = settings.retryAfter() ? Math.min(retryAfter, settings.maxRetryAfter()) : 0;
-            answerRefused(exchange, (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND);
+            answerRefused(exchange, busy(exchange.generation.site, retryAfter));
         }
     }
 
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,8 @@
     private int faults;
     private long pausedUntil;
     private boolean quitting;
+    /** The client has ended its sending, and waits for what it has asked. */
+    private boolean ended;
     /** The last answer is on its way and the close behind it. */
     private boolean leaving;
     private boolean gone;
@@ -101,7 +104,7 @@
         if (channel.config().isAutoRead()) {
             ((AbstractNioChannel) channel).unsafe().read();
         }
-        if (gone) {
+        if (gone || leaving) {
             return true;
         }
         if (open > 0 || gently && !isClean()) {
@@ -139,6 +142,19 @@
         parse();
     }
 
+    /** The end of a client's sending, where that is not its end. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            ended = true;
+            if (leaving) {
+                channel.close();
+            } else {
+                adjust();
+            }
+        }
+    }
+
     /** Whether one more command may be taken in now. */
     private boolean mayRead() {
         return !gone && !quitting && open < MOST_PIPELINED && channel.isWritable() && Clock.now() >= pausedUntil;
@@ -209,7 +225,7 @@
      * connection that was closed behind it has been seen too, and what nobody waits for any more is let drop.
      * Guards against a queue of connections that all are dead by the time they are accepted, each of which
      * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
-     * Harm: a client that only closes its sending side is not answered, as ever.
+     * Harm: where the end of a client's sending counts as its end, one that waits on is not answered.
      */
     private void beginPending() {
         Slot slot = pending;
@@ -283,19 +299,28 @@
 
     private void request(Slot slot, MetaFrame frame) {
         if (member.isSurplus()) {
-            server.counters().localRefusals++;
-            quitting = true;
-            slot.answer("SERVER_ERROR busy\r\n", null);
+            refuse(slot, "SERVER_ERROR busy\r\n");
             return;
         }
         try {
-            slot.exchange = server.take(frame, slot);
+            slot.exchange = server.take(frame, slot, member);
+            if (slot.exchange == null) {
+                refuse(slot, server.busy());
+                return;
+            }
             server.spoke(member);
         } catch (Command.Malformed e) {
             fault(slot, e.getMessage(), false);
         }
     }
 
+    /** Has no place for it: the connection is closed behind that. */
+    private void refuse(Slot slot, String line) {
+        server.counters().localRefusals++;
+        quitting = true;
+        slot.answer(line, null);
+    }
+
     /** Writes the answers that no earlier command has to come before. */
     void flushReady() {
         if (reading || gone) {
@@ -322,6 +347,10 @@
         if (gone || leaving) {
             return;
         }
+        if (ended && open == 0 && mayRead()) {
+            // All that had come is answered; half a command will not become whole.
+            quitting = true;
+        }
         if (open == 0 && server.isClosing() && !quitting && closeUnlessAsked(Why.STOP)) {
             return;
         }
@@ -339,7 +368,7 @@
                 server.rest(member);
                 tellHalf();
             }
-            channel.config().setAutoRead(mayRead());
+            channel.config().setAutoRead(!ended && mayRead());
         }
     }
 
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -38,6 +38,8 @@
     private static final int MOST_READ = 16 * 1024;
     /** Connections that may be closed in one turn, lest those that fall due together stall those that are served. */
     private static final int MOST_CLOSES = 64;
+    /** What a client is told to wait for a place. */
+    private static final long PLACE_WAIT = Clock.SECOND;
     private static final long TICK = 50 * Clock.MILLISECOND;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
@@ -45,6 +47,8 @@
     private final EventLoop loop;
     private final Counters counters;
     private final Budget budget;
+    /** Whether a client that has ended its sending is still there. */
+    private final boolean halfClose;
     private final TimingWheel wheel = new TimingWheel(TICK, Clock.now());
     private final ConnectionTable<ClientConnection> table;
     /**
@@ -60,7 +64,9 @@
     private boolean closing;
     private long sweptAt = Clock.now();
 
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, ConnectionLimits limits) {
+    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, ConnectionLimits limits,
+                 boolean halfClose) {
+        this.halfClose = halfClose;
         this.balancer = balancer;
         this.budget = budget;
         this.loop = loop;
@@ -79,6 +85,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, () -> reads)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, halfClose)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel fresh) {
@@ -219,8 +226,16 @@
         return MetaParser.ofCommands(budget);
     }
 
-    Exchange take(MetaFrame frame, Exchange.Client client) throws Command.Malformed {
-        return balancer.take(new Command(frame, balancer.site(), balancer::ownId), client);
+    /** Null if its tenant has no place for one more connection: to be refused. */
+    Exchange take(MetaFrame frame, Exchange.Client client, Member<ClientConnection> member)
+            throws Command.Malformed {
+        Command command = new Command(frame, balancer.site(), balancer::ownId);
+        return table.asksFor(member, command.tenant) ? balancer.take(command, client) : null;
+    }
+
+    /** The refusal of what never went out, for want of a place that may be free a little later. */
+    String busy() {
+        return balancer.busy(PLACE_WAIT);
     }
 
     void clientGone(Exchange exchange) {
--- a/src/test/java/eiderscale/connections/ConnectionTableTest.java
+++ b/src/test/java/eiderscale/connections/ConnectionTableTest.java
@@ -21,6 +21,7 @@
     private static final int MOST = 12;
     private static final int SURPLUS = 4;
     private static final int EASY = 8;
+    private static final int PER_TENANT = 5;
 
     /** A client's connection as it really is: what has come on it, what is read of it, what is owed. */
     private static final class Real {
@@ -29,6 +30,7 @@
         boolean halfUnread;
         boolean half;
         int open;
+        int tenant = -1;
         boolean spoke;
         boolean faulty;
         boolean told;
@@ -49,7 +51,8 @@
         World(long now, int perSource) {
             this.now = now;
             wheel = new TimingWheel(50 * MS, now);
-            table = new ConnectionTable<>(ConnectionLimits.of(MOST, SURPLUS, EASY, perSource, 20_000 * MS), wheel, this::close);
+            table = new ConnectionTable<>(ConnectionLimits.of(MOST, SURPLUS, EASY, perSource, PER_TENANT,
+                    20_000 * MS), wheel, this::close);
         }
 
         Real connect(Object source) {
@@ -77,7 +80,8 @@
                 saved++;
                 return false;
             }
-            boolean gently = why != Why.SILENCE && (before == Member.State.IDLE || why == Why.IDLE);
+            boolean gently = why == Why.STOP || why == Why.IDLE
+                    || why != Why.SILENCE && before == Member.State.IDLE;
             if (gently && real.half) {
                 return false;
             }
@@ -122,6 +126,31 @@
             table.half(real.member, real.open == 0 && real.half, now);
         }
 
+        long connectionsOf(int tenant) {
+            return all.stream().filter(real -> real.tenant == tenant).count();
+        }
+
+        void asksFor(Real real, int tenant) {
+            boolean room = real.tenant == tenant || connectionsOf(tenant) < PER_TENANT;
+            assertEquals(room, table.asksFor(real.member, tenant));
+            if (room) {
+                real.tenant = tenant;
+            }
+        }
+
+        /** All that rest are told to go, a few at a time, and no command is closed upon; nor is half of one. */
+        void stop() {
+            List<Real> resting = all.stream().filter(real -> real.open == 0 && !real.told).toList();
+            table.stop();
+            int turns = 0;
+            while (table.closeResting(3)) {
+                assertTrue(++turns <= all.size(), "an end comes");
+            }
+            for (Real real : resting) {
+                assertTrue(real.told || real.closed || real.open > 0 || real.half, "a " + real.member.state());
+            }
+        }
+
         void answer(Real real, boolean good) {
             if (real.open > 0) {
                 if (good) {
@@ -147,7 +176,7 @@
         World world = new World(random.nextLong(1_000_000_000), random.nextInt(3) == 0 ? 5 : 0);
         for (int step = 0; step < 600; step++) {
             Real some = world.all.isEmpty() ? null : world.all.get(random.nextInt(world.all.size()));
-            switch (some == null ? 0 : random.nextInt(12)) {
+            switch (some == null ? 0 : random.nextInt(13)) {
                 case 0, 1 -> world.connect(random.nextInt(4));
                 case 2, 3 -> some.unread++;
                 case 4 -> some.halfUnread = true;
@@ -156,6 +185,7 @@
                 case 8 -> world.end(some, null);
                 case 9 -> world.table.makeRoom(world.now, 1 + random.nextInt(8));
                 case 10 -> world.table.late(world.now, random.nextLong(400 * MS));
+                case 11 -> world.asksFor(some, random.nextInt(3));
                 default -> {
                     world.now += random.nextLong(random.nextInt(8) == 0 ? 25_000 * MS : 300 * MS);
                     world.wheel.advance(world.now, 1 + random.nextInt(40));
@@ -165,6 +195,12 @@
             long counted = world.all.stream().filter(real -> !real.told).count();
             assertTrue(counted <= MOST + SURPLUS, "connections: " + counted);
             world.all.forEach(real -> assertEquals(real.open > 0, real.member.state() == Member.State.BUSY));
+            for (int tenant = 0; tenant < 3; tenant++) {
+                assertTrue(world.connectionsOf(tenant) <= PER_TENANT);
+            }
+        }
+        if (random.nextBoolean()) {
+            world.stop();
         }
         // In the end all that say nothing are gone, however the events came.
         for (Real real : List.copyOf(world.all)) {
@@ -244,7 +280,7 @@
         int[] closed = new int[1];
         List<Member<Integer>> members = new ArrayList<>();
         List<ConnectionTable<Integer>> self = new ArrayList<>();
-        ConnectionTable<Integer> table = new ConnectionTable<>(ConnectionLimits.of(200_000, 16, Integer.MAX_VALUE, 0,
+        ConnectionTable<Integer> table = new ConnectionTable<>(ConnectionLimits.of(200_000, 16, Integer.MAX_VALUE, 0, 0,
                 20_000 * MS), wheel, (number, why) -> {
                     assertEquals(Why.IDLE, why);
                     assertTrue(number >= 50, "one that is served");
@@ -293,6 +329,24 @@
         assertNotNull(world.connect("greedy"), "one has gone");
     }
 
+    @Test
+    void oneTenantCannotTakeTheOthersPlaces() {
+        World world = new World(0, 0);
+        for (int i = 0; i < PER_TENANT + 2; i++) {
+            world.connect("front");
+        }
+        for (int i = 0; i < PER_TENANT; i++) {
+            assertTrue(world.table.asksFor(world.all.get(i).member, "greedy"));
+            assertTrue(world.table.asksFor(world.all.get(i).member, "greedy"), "its place is its own");
+        }
+        assertFalse(world.table.asksFor(world.all.get(PER_TENANT).member, "greedy"));
+        assertTrue(world.table.asksFor(world.all.get(PER_TENANT + 1).member, "modest"));
+        assertTrue(world.table.asksFor(world.all.get(0).member, "modest"), "it counts for whom it asks");
+        assertTrue(world.table.asksFor(world.all.get(PER_TENANT).member, "greedy"));
+        world.end(world.all.get(1), null);
+        assertTrue(world.table.asksFor(world.all.get(0).member, "greedy"), "one has gone");
+    }
+
     @Test
     void thoseThatWereToldToGoDoNotCountAndAreNotWaitedForInNumbers() {
         World world = good(MOST);
--- a/src/test/java/eiderscale/net/ClosingTest.java
+++ b/src/test/java/eiderscale/net/ClosingTest.java
@@ -125,6 +125,38 @@
         }
     }
 
+    /** Where the loop has stood still, what it takes for idle may have asked meanwhile: nobody is closed for ease. */
+    @Test
+    void aLoopThatIsLateClosesNobodyForEase() throws Exception {
+        List<Peer> clients = new ArrayList<>();
+        try (Rig rig = new Rig(FakeHost.serving())) {
+            rig.sockets = SOCKETS;
+            rig.start();
+            connect(rig, clients);
+            for (int round = 0; round < 5; round++) {
+                int now = round;
+                String gauges = rig.loop.submit(() -> {
+                    sleep(550);
+                    for (int i = 0; i < CLIENTS; i++) {
+                        ask(clients.get(i), "late" + now + "x" + i);
+                    }
+                    rig.node.sweep();
+                    return rig.node.gauges();
+                }).get();
+                assertTrue(gauges.startsWith("clients " + CLIENTS + " told-to-go 0 "), gauges);
+                for (int i = 0; i < CLIENTS; i++) {
+                    String line = clients.get(i).line();
+                    assertTrue(line != null && (line.equals("HD Olate" + round + "x" + i + " c77")
+                            || line.startsWith("SERVER_ERROR busy")), "round " + round + ", client " + i + ": " + line);
+                }
+            }
+        } finally {
+            for (Peer client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** What crosses the close on its way finds an orderly end, by which its client knows to ask again elsewhere. */
     @Test
     void aCommandThatCrossesTheCloseFindsAnEndAndNoReset() throws Exception {
--- a/src/test/java/eiderscale/sidecar/Talk.java
+++ b/src/test/java/eiderscale/sidecar/Talk.java
@@ -29,6 +29,12 @@
         return this;
     }
 
+    /** Ends the sending; answers may still come. */
+    Talk endSending() throws IOException {
+        socket.shutdownOutput();
+        return this;
+    }
+
     /** The next line without its CRLF; null at the end of the stream. */
     String line() throws IOException {
         StringBuilder line = new StringBuilder();
