The meta protocol has a package of its own; net knows no protocol

Need: HTTP is to be served by the same core, and net spoke the meta protocol from the client's command to the host's answer. Change: eiderscale.meta (parser, commands, clients' connections, both kinds of hosts) behind net's Protocol, Front, HostProtocol and Core; eiderscale.platform (the platform's program, its file, the rehearsal), as something must know both. ClientConnection keeps what any client's connection does: let in, half-closed, told to go, ended. Behaviour is as before, but that the load report of an answer which breaks the protocol is no longer read. Rules of the architecture hold meta and net apart.

--- a/bench/StartAndCheck.java
+++ b/bench/StartAndCheck.java
@@ -83,7 +83,7 @@
                    "zones":["a"],"kinds":["m"],"ceilings":{"max-attempts":4}}}
                 """.formatted(port, host.endpoint()));
         ProcessBuilder start = new ProcessBuilder("java", "@deploy/jvm.options",
-                "-XX:SharedArchiveFile=target/eiderscale.jsa", "-cp", "target/eiderscale.jar", "eiderscale.net.Main");
+                "-XX:SharedArchiveFile=target/eiderscale.jsa", "-cp", "target/eiderscale.jar", "eiderscale.platform.Main");
         start.environment().put("GW_CONFIG", file.toString());
         return timed(port, start);
     }
--- a/src/main/java/eiderscale/net/MemcachedProtocol.java
+++ b/src/main/java/eiderscale/meta/MemcachedProtocol.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.meta;
 
 import eiderscale.Api.Reason;
 import io.netty.buffer.ByteBuf;
@@ -9,15 +9,15 @@
  * answer, and no other host is asked. It knows nothing of deadlines, classes or keys of idempotency, so that
  * they are not sent, and turns nothing away.
  */
-final class MemcachedProtocol implements HostProtocol {
+final class MemcachedProtocol extends MetaHosts {
     @Override
-    public ByteBuf encode(Command command, ByteBufAllocator alloc, long leftMs) {
+    ByteBuf encode(MetaCommand command, ByteBufAllocator alloc, long leftMs) {
         String line = command.head() + (command.write ? " c" : "") + command.extra + "\r\n";
-        return Command.line(alloc, line, command.value);
+        return MetaCommand.line(alloc, line, command.value);
     }
 
     @Override
-    public Reason judge(Command command, MetaFrame answer) {
+    Reason judge(MetaCommand command, MetaFrame answer) {
         if (answer.fault() != null) {
             return null;
         }
@@ -28,11 +28,11 @@
         boolean miss = !command.write && answer.is(0, "EN");
         boolean good = miss || (command.write ? answer.is(0, "HD") : answer.is(0, "VA"));
         String opaque = answer.flag(answer.is(0, "VA") ? 2 : 1, 'O');
-        return good && (command.opaque.equals(opaque) || miss && opaque == null) ? Reason.OK : null;
+        return good && (command.id().equals(opaque) || miss && opaque == null) ? Reason.OK : null;
     }
 
     @Override
-    public String answerLine(Command command, MetaFrame answer) {
+    String answerLine(MetaCommand command, MetaFrame answer) {
         boolean value = answer.is(0, "VA");
         StringBuilder line = new StringBuilder(answer.words().get(0));
         if (value) {
--- a/src/main/java/eiderscale/net/Command.java
+++ b/src/main/java/eiderscale/meta/MetaCommand.java
@@ -1,9 +1,11 @@
-package eiderscale.net;
+package eiderscale.meta;
 
 import eiderscale.config.Catalog;
 import eiderscale.config.Routes;
 import eiderscale.config.Site;
 import eiderscale.Api;
+import eiderscale.net.Clock;
+import eiderscale.net.Request;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
@@ -11,7 +13,7 @@
 import java.util.function.Supplier;
 
 /** A client's read or write, checked, with what is needed to pass it on in the same words. */
-final class Command {
+final class MetaCommand implements Request {
     private static final int MOST_KEY = 250;
     private static final int MOST_OPAQUE = 32;
     private static final int HEX_KEY = 16;
@@ -32,14 +34,14 @@
 
     final boolean write;
     final String key;
-    final String opaque;
+    private final String opaque;
     final byte[] value;
-    final int requestClass;
-    final int tenant;
-    final long waitMs;
-    final boolean repeat;
+    private final int requestClass;
+    private final int tenant;
+    private final long waitMs;
+    private final boolean repeat;
     /** Expected work in nanoseconds, 0 if not told. */
-    final long work;
+    private final long work;
     /** Flags that go to memcached and back unread, each with a blank before it. */
     final String extra;
     private final String[] figures;
@@ -50,7 +52,7 @@
     private int waitAt = -1;
 
     /** {@code own}: makes the id of a command whose client gave none. */
-    Command(MetaFrame frame, Site site, Supplier<String> own) throws Malformed {
+    MetaCommand(MetaFrame frame, Site site, Supplier<String> own) throws Malformed {
         write = frame.is(0, "ms");
         value = frame.data();
         if (frame.words().size() < 2 || frame.words().get(1).length() > MOST_KEY) {
@@ -163,8 +165,49 @@
         throw new Malformed("bad " + name);
     }
 
+    @Override
+    public String id() {
+        return opaque;
+    }
+
+    @Override
+    public int requestClass() {
+        return requestClass;
+    }
+
+    @Override
+    public int tenant() {
+        return tenant;
+    }
+
+    @Override
+    public long waitMs() {
+        return waitMs;
+    }
+
+    @Override
+    public long work() {
+        return work;
+    }
+
+    @Override
+    public boolean repeat() {
+        return repeat;
+    }
+
+    @Override
+    public boolean write() {
+        return write;
+    }
+
+    @Override
+    public int heldBytes() {
+        return value == null ? 0 : value.length;
+    }
+
     /** The key as the module's number: hexadecimal keys as they are, others by a hash all balancers share. */
-    long keyNumber() {
+    @Override
+    public long key() {
         try {
             if (key.length() <= HEX_KEY) {
                 return Long.parseUnsignedLong(key, 16);
--- /dev/null
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -0,0 +1,297 @@
+package eiderscale.meta;
+
+import eiderscale.net.Answer;
+import eiderscale.net.Client;
+import eiderscale.net.ClientConnection;
+import eiderscale.net.ClientServer;
+import eiderscale.net.Clock;
+import eiderscale.net.Taken;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+
+/**
+ * One client of the meta protocol: reads its commands and writes their answers in the order of the commands. An idle
+ * one holds no buffer, no parser and no queue: it is the one handler in its pipeline.
+ */
+final class MetaConnection extends ClientConnection {
+    /** Requests of one connection that may be open at once; reading stops there. */
+    private static final int MOST_PIPELINED = 64;
+    /** After a fault a connection is not read for this long, and after so many faults no more at all. */
+    private static final long PENALTY_MS = 50;
+    private static final int MOST_FAULTS = 8;
+    private static final long PLACE_WAIT = Clock.SECOND;
+
+    private final MetaFront front;
+    /** What has come and is not read as commands yet; null if there is nothing. */
+    private ByteBuf held;
+    /** Null between two commands. */
+    private MetaParser parser;
+    /** Commands that are owed an answer, in their order. */
+    private Slot first;
+    private Slot last;
+    private int open;
+    private int faults;
+    private long pausedUntil;
+    private boolean reading;
+    private boolean parsing;
+    /** The command that was read last, and its place, until it is begun. */
+    private Slot pending;
+    private MetaFrame pendingFrame;
+
+    /** The place of one command in the order of answers. */
+    private static final class Slot implements Client {
+        private final MetaConnection connection;
+        private MetaCommand command;
+        private ByteBuf answer;
+        private Taken taken;
+        private Slot next;
+
+        Slot(MetaConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void served(Answer answer) {
+            MetaFrame frame = (MetaFrame) answer;
+            answer(connection.front.hosts().answerLine(command, frame), frame.data());
+        }
+
+        @Override
+        public void refused(long retryAfterMs) {
+            answer(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n", null);
+        }
+
+        @Override
+        public void failed() {
+            answer("SERVER_ERROR failed\r\n", null);
+        }
+
+        private void answer(String line, byte[] data) {
+            if (!connection.isGone()) {
+                answer = MetaCommand.line(connection.channel().alloc(), line, data);
+                connection.unread(answer.readableBytes());
+                connection.flushReady();
+            }
+        }
+    }
+
+    MetaConnection(MetaFront front, ClientServer server, SocketChannel channel) {
+        super(server, channel);
+        this.front = front;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        if (isGone() || isQuitting()) {
+            bytes.release();
+            return;
+        }
+        held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
+        takeIn();
+    }
+
+    @Override
+    protected int open() {
+        return open;
+    }
+
+    @Override
+    protected boolean isClean() {
+        return held == null && parser == null;
+    }
+
+    @Override
+    protected boolean hasRoom() {
+        return open < MOST_PIPELINED && Clock.now() >= pausedUntil;
+    }
+
+    @Override
+    protected void takeIn() {
+        if (parsing || held == null) {
+            return;
+        }
+        parsing = true;
+        if (parser == null) {
+            parser = front.parser();
+        }
+        MetaFrame frame = mayRead() ? parser.next(held) : null;
+        while (frame != null) {
+            Slot slot = pending;
+            MetaFrame before = pendingFrame;
+            // In its place before the last one may be answered: a stop would close upon it.
+            add(frame);
+            begin(slot, before);
+            frame = mayRead() ? parser.next(held) : null;
+        }
+        parsing = false;
+        if (isGone() || isQuitting()) {
+            drop();
+        } else if (!held.isReadable()) {
+            held.release();
+            held = null;
+        }
+        if (parser != null && parser.isBetweenFrames()) {
+            parser = null;
+        }
+    }
+
+    private void add(MetaFrame frame) {
+        busy();
+        pending = new Slot(this);
+        pendingFrame = frame;
+        if (first == null) {
+            first = pending;
+        } else {
+            last.next = pending;
+        }
+        last = pending;
+        open++;
+        later(this::beginPending);
+    }
+
+    @Override
+    protected void drop() {
+        if (held != null) {
+            held.release();
+            held = null;
+        }
+        if (parser != null) {
+            parser.close();
+            parser = null;
+        }
+    }
+
+    /**
+     * Begins the command that was read last, once the reads of this turn are over: by then the end of a
+     * connection that was closed behind it has been seen too, and what nobody waits for any more is let drop.
+     * Guards against a queue of connections that all are dead by the time they are accepted, each of which
+     * would cost as much as a live one: a slow start, a stalled machine, any burst that clients give up on.
+     * Harm: where the end of a client's sending counts as its end, one that waits on is not answered.
+     */
+    private void beginPending() {
+        Slot slot = pending;
+        MetaFrame frame = pendingFrame;
+        pending = null;
+        pendingFrame = null;
+        begin(slot, frame);
+    }
+
+    private void begin(Slot slot, MetaFrame frame) {
+        if (slot == null || isGone()) {
+            return;
+        }
+        if (!channel().isActive()) {
+            departed();
+            return;
+        }
+        reading = true;
+        if (isQuitting()) {
+            // Behind the last one that is served.
+            slot.answer = Unpooled.EMPTY_BUFFER;
+        } else if (frame.fault() != null) {
+            fault(slot, frame.fault(), frame.last());
+        } else {
+            take(slot, frame);
+        }
+        reading = false;
+        flushReady();
+    }
+
+    /**
+     * Answers what cannot be served. Nothing behind a fault of framing is read; behind any other one reading
+     * rests, so that a client which sends the same again at once takes no time from the others.
+     */
+    private void fault(Slot slot, String answer, boolean isLast) {
+        faulty();
+        faults++;
+        if (isLast || faults >= MOST_FAULTS) {
+            quit();
+        }
+        pausedUntil = Clock.now() + PENALTY_MS * Clock.MILLISECOND;
+        later(this::adjust, PENALTY_MS);
+        slot.answer(answer + "\r\n", null);
+    }
+
+    private void take(Slot slot, MetaFrame frame) {
+        switch (frame.words().get(0)) {
+            case "mg", "ms" -> request(slot, frame);
+            case "mn" -> {
+                spoke();
+                slot.answer("MN\r\n", null);
+            }
+            case "quit" -> {
+                quit();
+                slot.answer = Unpooled.EMPTY_BUFFER;
+            }
+            default -> fault(slot, "ERROR", false);
+        }
+    }
+
+    private void request(Slot slot, MetaFrame frame) {
+        if (isSurplus()) {
+            refuse(slot, 0);
+            return;
+        }
+        try {
+            MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId);
+            if (core().isOpen(command.id())) {
+                // Hosts know requests by their ids alone: it could be served with what was made for the first.
+                throw new MetaCommand.Malformed("id is in use");
+            }
+            if (!mayAskFor(command)) {
+                refuse(slot, core().retryAfterMs(PLACE_WAIT));
+                return;
+            }
+            slot.command = command;
+            slot.taken = core().take(command, slot);
+            spoke();
+        } catch (MetaCommand.Malformed e) {
+            fault(slot, e.getMessage(), false);
+        }
+    }
+
+    /** Has no place for it: the connection is closed behind that. */
+    private void refuse(Slot slot, long retryAfterMs) {
+        refusedHere();
+        quit();
+        slot.refused(retryAfterMs);
+    }
+
+    /** Writes the answers that no earlier command has to come before. */
+    private void flushReady() {
+        if (reading || isGone()) {
+            return;
+        }
+        boolean wrote = false;
+        while (first != null && first.answer != null) {
+            ByteBuf answer = first.answer;
+            first = first.next;
+            open--;
+            int bytes = answer.readableBytes();
+            channel().write(answer).addListener(done -> unread(-bytes));
+            wrote = true;
+        }
+        if (wrote) {
+            channel().flush();
+        }
+        adjust();
+    }
+
+    @Override
+    protected void abandon() {
+        for (Slot slot = first; slot != null; slot = slot.next) {
+            if (slot.answer != null) {
+                unread(-slot.answer.readableBytes());
+                slot.answer.release();
+            } else if (slot.taken != null) {
+                slot.taken.clientGone();
+            }
+        }
+        first = null;
+        open = 0;
+    }
+}
--- a/src/main/java/eiderscale/net/MetaDecoder.java
+++ b/src/main/java/eiderscale/meta/MetaDecoder.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.meta;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/eiderscale/net/MetaFrame.java
+++ b/src/main/java/eiderscale/meta/MetaFrame.java
@@ -1,5 +1,6 @@
-package eiderscale.net;
+package eiderscale.meta;
 
+import eiderscale.net.Answer;
 import java.util.List;
 
 /**
@@ -7,7 +8,7 @@
  * line broke the protocol and {@code fault} is what its sender should be told. Behind a {@code last} frame
  * nobody knows where the next line begins: nothing that follows may be read as one.
  */
-record MetaFrame(List<String> words, byte[] data, String fault, boolean last) {
+record MetaFrame(List<String> words, byte[] data, String fault, boolean last) implements Answer {
     /** Values may hold so many bytes. */
     static final int MOST_VALUE = 64 * 1024;
 
@@ -19,6 +20,11 @@
         return new MetaFrame(List.of(), null, answer, last);
     }
 
+    @Override
+    public String loadReport() {
+        return flag(1, 'L');
+    }
+
     boolean is(int at, String word) {
         return at < words.size() && words.get(at).equals(word);
     }
--- a/src/main/java/eiderscale/net/MetaParser.java
+++ b/src/main/java/eiderscale/meta/MetaParser.java
@@ -1,5 +1,6 @@
-package eiderscale.net;
+package eiderscale.meta;
 
+import eiderscale.net.Budget;
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/src/main/java/eiderscale/net/PlatformProtocol.java
+++ b/src/main/java/eiderscale/meta/PlatformProtocol.java
@@ -1,19 +1,19 @@
-package eiderscale.net;
+package eiderscale.meta;
 
 import eiderscale.Api.Reason;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 
 /** Hosts that read through and answer for themselves: they get commands in the words of the clients. */
-final class PlatformProtocol implements HostProtocol {
+final class PlatformProtocol extends MetaHosts {
     @Override
-    public ByteBuf encode(Command command, ByteBufAllocator alloc, long leftMs) {
+    ByteBuf encode(MetaCommand command, ByteBufAllocator alloc, long leftMs) {
         String line = command.head() + " P" + command.figures(leftMs) + "\r\n";
-        return Command.line(alloc, line, command.value);
+        return MetaCommand.line(alloc, line, command.value);
     }
 
     @Override
-    public Reason judge(Command command, MetaFrame answer) {
+    Reason judge(MetaCommand command, MetaFrame answer) {
         if (answer.fault() != null) {
             return null;
         }
@@ -23,12 +23,12 @@
         int flags = answer.is(0, "VA") ? 2 : 1;
         boolean kind = command.write ? answer.is(0, "HD") && answer.flag(flags, 'c') != null
                 : answer.is(0, "VA");
-        return kind && command.opaque.equals(answer.flag(flags, 'O')) ? Reason.OK : null;
+        return kind && command.id().equals(answer.flag(flags, 'O')) ? Reason.OK : null;
     }
 
     /** Without what hosts tell balancers only. */
     @Override
-    public String answerLine(Command command, MetaFrame answer) {
+    String answerLine(MetaCommand command, MetaFrame answer) {
         return command.write ? "HD" + command.echo() + " c" + answer.flag(1, 'c') + "\r\n"
                 : "VA " + answer.data().length + command.echo() + "\r\n";
     }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -27,7 +27,7 @@
  * <p>All of it runs on the one event loop. Events reach the module one at a time: an outcome that an action
  * causes at once is queued and handed over when the module has returned, as the module is not reentrant.
  */
-final class Balancer implements HostPool.Listener, Discovery.Listener {
+final class Balancer implements Core, HostPool.Listener, Discovery.Listener {
     /**
      * A client counts its wait from when it sent, not from when the request was read here, and the answer
      * has its way to go as well: this much is taken off, so that a final answer is there before it is overdue.
@@ -35,7 +35,8 @@
     private static final long WAYS = 6 * Clock.MILLISECOND;
     /** Past its deadline by this, a request that the module has left open is answered here. */
     private static final long LAST_CALL = Clock.MILLISECOND;
-    private static final String BUSY = "SERVER_ERROR busy\r\n";
+    /** Begins the ids that balancers make up. */
+    private static final char OWN_ID = '~';
 
     /** Makes the decision module, given where its actions go. */
     interface Module {
@@ -67,11 +68,11 @@
     private long lastOwnId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Module module, Budget budget,
-             int mostConnections) {
+             HostProtocol protocol, int mostConnections) {
         this.budget = budget;
         this.timers = new Timers(loop, counters);
         this.counters = counters;
-        this.pool = new HostPool(config.site(), loop, counters, mostConnections, this);
+        this.pool = new HostPool(config.site(), loop, counters, protocol, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
         this.maker = module;
         this.seeds = new SplittableRandom(config.seed());
@@ -86,38 +87,37 @@
 
     // What comes in.
 
-    /**
-     * Takes a request, which is answered exactly once unless its client leaves first. Hosts know requests by
-     * their ids alone: a second one under an open id could be served with what was made for the first.
-     */
-    Exchange take(Command command, Exchange.Client client) throws Command.Malformed {
-        if (openIds.contains(command.opaque)) {
-            throw new Command.Malformed("id is in use");
+    @Override
+    public boolean isOpen(String id) {
+        return openIds.contains(id);
+    }
+
+    /** Hosts know requests by their ids alone: a second one under an open id could get what was made for the first. */
+    @Override
+    public Taken take(Request request, Client client) {
+        if (isOpen(request.id())) {
+            throw new IllegalStateException("id is in use: " + request.id());
         }
         long now = Clock.now();
-        long deadline = now + command.waitMs * Clock.MILLISECOND - WAYS;
-        Exchange exchange = new Exchange(++lastId, command, current, deadline, client);
+        long deadline = now + request.waitMs() * Clock.MILLISECOND - WAYS;
+        Exchange exchange = new Exchange(++lastId, request, current, deadline, client);
         counters.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
-        if (open() >= current.site.maxOpen || !budget.take(bytes(command))) {
+        if (open() >= current.site.maxOpen || !budget.take(request.heldBytes())) {
             counters.localRefusals++;
-            answerRefused(exchange, BUSY);
+            answerRefused(exchange, 0);
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
         current.exchanges++;
-        openIds.add(command.opaque);
+        openIds.add(request.id());
         timers.set(exchange, deadline + LAST_CALL);
-        Api.Request request = new Api.Request(exchange.id, command.requestClass, command.tenant,
-                command.keyNumber(), deadline, command.work, command.repeat, command.write);
-        post(exchange, () -> exchange.generation.module.onRequest(Clock.now(), request));
+        Api.Request asked = new Api.Request(exchange.id, request.requestClass(), request.tenant(), request.key(),
+                deadline, request.work(), request.repeat(), request.write());
+        post(exchange, () -> exchange.generation.module.onRequest(Clock.now(), asked));
         return exchange;
     }
 
-    private static int bytes(Command command) {
-        return command.value == null ? 0 : command.value.length;
-    }
-
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(Exchange exchange) {
         if (close(exchange)) {
@@ -154,7 +154,7 @@
     }
 
     @Override
-    public void onAnswer(Attempt attempt, Reason reason, MetaFrame answer) {
+    public void onAnswer(Attempt attempt, Reason reason, Answer answer) {
         end(attempt, reason, answer);
     }
 
@@ -181,7 +181,8 @@
         generations.removeIf(generation -> generation != current && generation.exchanges == 0);
     }
 
-    Site site() {
+    @Override
+    public Site site() {
         return current.site;
     }
 
@@ -189,9 +190,9 @@
         return members.size();
     }
 
-    /** An id for a command whose client gave none. */
-    String ownId() {
-        return Command.OWN_ID + Long.toString(++lastOwnId, Character.MAX_RADIX);
+    @Override
+    public String ownId() {
+        return OWN_ID + Long.toString(++lastOwnId, Character.MAX_RADIX);
     }
 
     /** The longest that any client of an open request or of one to come may wait, in nanoseconds. */
@@ -248,7 +249,7 @@
 
     private void forget(Exchange exchange) {
         if (exchange.over && exchange.pending == 0 && exchanges.remove(exchange.id) != null) {
-            budget.giveBack(bytes(exchange.command));
+            budget.giveBack(exchange.request.heldBytes());
             if (--exchange.generation.exchanges == 0) {
                 dropIdle();
             }
@@ -273,7 +274,7 @@
             if (mayRun) {
                 answerFailed(exchange);
             } else {
-                answerRefused(exchange, BUSY);
+                answerRefused(exchange, 0);
             }
             post(exchange, () -> exchange.generation.module.onClientGone(Clock.now(), exchange.id));
         }
@@ -287,7 +288,7 @@
     }
 
     /** Reports the one outcome of an attempt. */
-    private void end(Attempt attempt, Reason reason, MetaFrame answer) {
+    private void end(Attempt attempt, Reason reason, Answer answer) {
         if (attempt.over) {
             return;
         }
@@ -300,43 +301,40 @@
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
                 counters.served++;
-                answer(exchange, pool.protocol().answerLine(exchange.command, answer), answer.data());
+                close(exchange);
+                exchange.client.served(answer);
             }
-            float[] report = exchange.generation.site.report(answer == null ? null : answer.flag(1, 'L'));
+            float[] report = exchange.generation.site.report(answer == null ? null : answer.loadReport());
             long now = Clock.now();
             exchange.generation.module.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
                     exchange.over, report));
         });
     }
 
-    private void answerRefused(Exchange exchange, String line) {
+    private void answerRefused(Exchange exchange, long retryAfterMs) {
         counters.refused++;
-        answer(exchange, line, null);
-    }
-
-    /** A refusal that tells a wait, in nanoseconds, as far as the settings allow. */
-    private static String busy(Site site, long retryAfter) {
-        long most = site.settings.retryAfter() ? Math.min(retryAfter, site.settings.maxRetryAfter()) : 0;
-        long ms = (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND;
-        return ms > 0 ? "SERVER_ERROR busy " + ms + "\r\n" : BUSY;
-    }
-
-    /** The same for what has no exchange. */
-    String busy(long retryAfter) {
-        return busy(current.site, retryAfter);
+        if (close(exchange)) {
+            exchange.client.refused(retryAfterMs);
+        }
     }
 
     private void answerFailed(Exchange exchange) {
         counters.failed++;
-        answer(exchange, "SERVER_ERROR failed\r\n", null);
-    }
-
-    private void answer(Exchange exchange, String line, byte[] data) {
         if (close(exchange)) {
-            exchange.client.answer(line, data);
+            exchange.client.failed();
         }
     }
 
+    private static long retryAfterMs(Site site, long wait) {
+        long most = site.settings.retryAfter() ? Math.min(wait, site.settings.maxRetryAfter()) : 0;
+        return (most + Clock.MILLISECOND - 1) / Clock.MILLISECOND;
+    }
+
+    @Override
+    public long retryAfterMs(long wait) {
+        return retryAfterMs(current.site, wait);
+    }
+
     /** True the first time; a request that found no room was never in the ledger, and its id is its own. */
     private boolean close(Exchange exchange) {
         if (!exchange.close()) {
@@ -344,7 +342,7 @@
         }
         timers.cancel(exchange);
         if (exchanges.containsKey(exchange.id)) {
-            openIds.remove(exchange.command.opaque);
+            openIds.remove(exchange.request.id());
         }
         return true;
     }
@@ -391,7 +389,7 @@
     void refuse(long request, long retryAfter) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
-            answerRefused(exchange, busy(exchange.generation.site, retryAfter));
+            answerRefused(exchange, retryAfterMs(exchange.generation.site, retryAfter));
         }
     }
 
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -25,7 +25,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Listens for clients, and carries out on their sockets what the table of connections decides. */
-final class ClientServer {
+public final class ClientServer {
     private static final int BACKLOG = 1024;
     /**
      * Connections taken in one turn of the loop. All of them hold a descriptor before the first is looked at, and
@@ -38,15 +38,13 @@
     private static final int MOST_READ = 16 * 1024;
     /** Connections that may be closed in one turn, lest those that fall due together stall those that are served. */
     private static final int MOST_CLOSES = 64;
-    /** What a client is told to wait for a place. */
-    private static final long PLACE_WAIT = Clock.SECOND;
     private static final long TICK = 50 * Clock.MILLISECOND;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
     private final Balancer balancer;
     private final EventLoop loop;
     private final Counters counters;
-    private final Budget budget;
+    private final Front front;
     /** Whether a client that has ended its sending is still there. */
     private final boolean halfClose;
     private final TimingWheel wheel = new TimingWheel(TICK, Clock.now());
@@ -64,11 +62,11 @@
     private boolean closing;
     private long sweptAt = Clock.now();
 
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Budget budget, ConnectionLimits limits,
+    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Front front, ConnectionLimits limits,
                  boolean halfClose) {
         this.halfClose = halfClose;
         this.balancer = balancer;
-        this.budget = budget;
+        this.front = front;
         this.loop = loop;
         this.counters = counters;
         this.table = new ConnectionTable<>(limits, wheel, this::close);
@@ -89,7 +87,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel fresh) {
-                        fresh.pipeline().addLast(new ClientConnection(ClientServer.this, fresh));
+                        fresh.pipeline().addLast(front.open(ClientServer.this, fresh));
                     }
                 }).bind(address);
         servers.add(bound.channel());
@@ -222,24 +220,12 @@
         table.gone(member);
     }
 
-    MetaParser parser() {
-        return MetaParser.ofCommands(budget);
+    boolean asksFor(Member<ClientConnection> member, int tenant) {
+        return table.asksFor(member, tenant);
     }
 
-    /** Null if its tenant has no place for one more connection: to be refused. */
-    Exchange take(MetaFrame frame, Exchange.Client client, Member<ClientConnection> member)
-            throws Command.Malformed {
-        Command command = new Command(frame, balancer.site(), balancer::ownId);
-        return table.asksFor(member, command.tenant) ? balancer.take(command, client) : null;
-    }
-
-    /** The refusal of what never went out, for want of a place that may be free a little later. */
-    String busy() {
-        return balancer.busy(PLACE_WAIT);
-    }
-
-    void clientGone(Exchange exchange) {
-        balancer.clientGone(exchange);
+    Core core() {
+        return balancer;
     }
 
     /** Bytes of answers, over all connections, that clients have not taken. */
--- /dev/null
+++ b/src/main/java/eiderscale/net/Core.java
@@ -0,0 +1,24 @@
+package eiderscale.net;
+
+import eiderscale.config.Site;
+
+/** What fronts see of the balancer. */
+public interface Core {
+    /** The settings that new requests come under. */
+    Site site();
+
+    /** An id for a request whose client gave none. */
+    String ownId();
+
+    /** Whether a request with this id is owed an answer: another one under it cannot be taken. */
+    boolean isOpen(String id);
+
+    /**
+     * Takes a request, which is answered exactly once unless its client leaves first; perhaps before this returns.
+     * Throws {@link IllegalStateException} if its id is open.
+     */
+    Taken take(Request request, Client client);
+
+    /** So much of a wait, in nanoseconds, as a refused client may be told: in milliseconds, 0 for nothing. */
+    long retryAfterMs(long wait);
+}
--- a/src/main/java/eiderscale/net/Exchange.java
+++ b/src/main/java/eiderscale/net/Exchange.java
@@ -5,14 +5,9 @@
 import java.util.List;
 
 /** A request that was taken, from its arrival until the outcome of its last attempt; the timer of its last call. */
-final class Exchange extends TimingWheel.Timer {
-    /** Where the one final answer goes. */
-    interface Client {
-        void answer(String line, byte[] data);
-    }
-
+final class Exchange extends TimingWheel.Timer implements Taken {
     final long id;
-    final Command command;
+    final Request request;
     /** The settings and the module that it came under. */
     final Generation generation;
     /** The latest moment for a final answer, on this program's clock. */
@@ -25,9 +20,9 @@
     /** Some attempt may have run. */
     boolean mayHaveRun;
 
-    Exchange(long id, Command command, Generation generation, long deadline, Client client) {
+    Exchange(long id, Request request, Generation generation, long deadline, Client client) {
         this.id = id;
-        this.command = command;
+        this.request = request;
         this.generation = generation;
         this.deadline = deadline;
         this.client = client;
@@ -44,4 +39,9 @@
     protected void fire(long now) {
         generation.balancer().lastCall(this);
     }
+
+    @Override
+    public void clientGone() {
+        generation.balancer().clientGone(this);
+    }
 }
--- /dev/null
+++ b/src/main/java/eiderscale/net/Front.java
@@ -0,0 +1,9 @@
+package eiderscale.net;
+
+import io.netty.channel.socket.SocketChannel;
+
+/** One protocol, as clients speak it. */
+public interface Front {
+    /** The handler of a new connection, added to its pipeline alone. */
+    ClientConnection open(ClientServer server, SocketChannel channel);
+}
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -10,11 +10,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -32,7 +33,7 @@
 final class HostPool {
     /** Hears how attempts end, but for those that it abandoned itself. */
     interface Listener {
-        void onAnswer(Attempt attempt, Reason reason, MetaFrame answer);
+        void onAnswer(Attempt attempt, Reason reason, Answer answer);
     }
 
     /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
@@ -63,14 +64,11 @@
     private final Map<Long, Host> hosts = new HashMap<>();
     /** All idle connections, the coldest first. */
     private final Set<Link> idle = new LinkedHashSet<>();
-    /** Each connection holds one value at most, so their number bounds this. */
-    private final Budget budget = new Budget(Long.MAX_VALUE);
     private int links;
 
-    HostPool(Site site, EventLoop loop, Counters counters, int mostLinks, Listener listener) {
+    HostPool(Site site, EventLoop loop, Counters counters, HostProtocol protocol, int mostLinks, Listener listener) {
         this.site = site;
-        this.protocol = site.hostKind == Site.HostKind.MEMCACHED ? new MemcachedProtocol()
-                : new PlatformProtocol();
+        this.protocol = protocol;
         this.counters = counters;
         this.mostLinks = mostLinks;
         this.listener = listener;
@@ -86,10 +84,6 @@
                 (int) Math.max(1, site.connectTimeout / Clock.MILLISECOND));
     }
 
-    HostProtocol protocol() {
-        return protocol;
-    }
-
     /** Applies a list before the module sees it, so that every host it may name is known here. */
     void update(Api.ListMode mode, List<Catalog.Member> members) {
         if (mode == Api.ListMode.FAILED) {
@@ -154,7 +148,7 @@
     /** Whether a reset that may have come after it ran would be the end of it. */
     private static boolean unsafe(Attempt attempt) {
         Exchange exchange = attempt.exchange;
-        return exchange.generation.site.settings.classes().get(exchange.command.requestClass).effect()
+        return exchange.generation.site.settings.classes().get(exchange.request.requestClass()).effect()
                 == Api.Effect.FRAGILE;
     }
 
@@ -208,9 +202,9 @@
     }
 
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
-    final class Link extends SimpleChannelInboundHandler<MetaFrame> {
+    final class Link extends ChannelInboundHandlerAdapter {
         private final Host host;
-        private final MetaDecoder decoder = new MetaDecoder(MetaParser.ofAnswers(budget));
+        private final HostProtocol.Dialog dialog = protocol.open();
         private Channel channel;
         private Attempt attempt;
         /** The write of the present attempt; done when its last byte has left. */
@@ -235,7 +229,7 @@
             ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(Channel fresh) {
-                    fresh.pipeline().addLast(decoder, Link.this);
+                    fresh.pipeline().addLast(dialog.decoder(), Link.this);
                 }
             }).connect(host.endpoint);
             channel = up.channel();
@@ -279,24 +273,32 @@
                 return;
             }
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
-            ByteBuf bytes = protocol.encode(attempt.exchange.command, channel.alloc(), leftMs);
+            ByteBuf bytes = dialog.encode(attempt.exchange.request, channel.alloc(), leftMs);
             sent = channel.writeAndFlush(bytes);
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, MetaFrame answer) {
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                read(message);
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(Object message) {
             if (attempt == null) {
                 // Nobody asked: what follows on this connection cannot be told apart any more.
                 retire();
                 return;
             }
-            Reason reason = protocol.judge(attempt.exchange.command, answer);
-            boolean garbage = reason == null;
-            if (garbage) {
-                counters.noise("a cache host broke the protocol: "
-                        + (answer.fault() != null ? answer.fault() : answer.words()));
+            HostProtocol.Verdict verdict = dialog.judge(attempt.exchange.request, message);
+            if (verdict.reason() == null) {
+                counters.noise("a cache host broke the protocol: " + verdict.fault());
+                finish(Reason.ERROR, null, true);
+            } else {
+                finish(verdict.reason(), verdict.answer(), !written());
             }
-            finish(garbage ? Reason.ERROR : reason, answer, garbage || !written());
         }
 
         /**
@@ -309,7 +311,7 @@
             if (attempt != null) {
                 return;
             }
-            if (!decoder.isClean()) {
+            if (!dialog.isClean()) {
                 retire();
             } else if (answered) {
                 answered = false;
@@ -324,7 +326,7 @@
             }
         }
 
-        private void finish(Reason reason, MetaFrame answer, boolean close) {
+        private void finish(Reason reason, Answer answer, boolean close) {
             Attempt ended = attempt;
             learn(false);
             release();
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -3,7 +3,6 @@
 import eiderscale.config.Catalog;
 import eiderscale.config.ClientLimits;
 import eiderscale.config.Config;
-import eiderscale.config.ConfigException;
 import eiderscale.config.DescriptorPlan;
 import eiderscale.connections.ConnectionLimits;
 import eiderscale.config.Site;
@@ -34,18 +33,18 @@
     private int sweeps;
 
     /** To be called on the loop, as all of this class; throws nothing that {@code config} does not cause. */
-    public Node(Config config, EventLoop loop) {
-        this(config, loop, Router::new);
+    public Node(Config config, EventLoop loop, Protocol protocol) {
+        this(config, loop, protocol, Router::new);
     }
 
-    Node(Config config, EventLoop loop, Balancer.Module module) {
+    Node(Config config, EventLoop loop, Protocol protocol, Balancer.Module module) {
         this.config = config;
         this.loop = loop;
         budget = new Budget(config.heldBytes());
         DescriptorPlan plan = config.plan();
         ClientLimits clients = config.clients();
-        balancer = new Balancer(config, loop, counters, module, budget, plan.links());
-        server = new ClientServer(balancer, loop, counters, budget,
+        balancer = new Balancer(config, loop, counters, module, budget, protocol.hosts(), plan.links());
+        server = new ClientServer(balancer, loop, counters, protocol.front(budget),
                 ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), clients.perSource(),
                         clients.perTenant(), clients.idle()), clients.halfClose());
     }
@@ -91,15 +90,6 @@
         balancer.onList(mode, members);
     }
 
-    /** Reads the configuration again; one that cannot be used changes nothing. */
-    void reload(String path) {
-        try {
-            balancer.moveDiscovery(ConfigFile.read(path).discovery());
-        } catch (ConfigException e) {
-            Counters.log("the old configuration stays: " + e.getMessage());
-        }
-    }
-
     /**
      * Serves new requests by another site's settings. Its kind of hosts and its names of zones must be those of
      * the present one: they cannot change under way.
--- /dev/null
+++ b/src/main/java/eiderscale/net/Request.java
@@ -0,0 +1,31 @@
+package eiderscale.net;
+
+/** A request as the core needs it. What it says to hosts and clients is known to its protocol alone. */
+public interface Request {
+    /** Hosts know it by this; no two open requests share one. */
+    String id();
+
+    /** The number of its class in the settings. */
+    int requestClass();
+
+    /** The number of its tenant in the settings. */
+    int tenant();
+
+    /** What decides which hosts are first for it; the same on every balancer. */
+    long key();
+
+    /** How long its client waits, in milliseconds from its arrival. */
+    long waitMs();
+
+    /** The work that its client expects, in nanoseconds; 0 if not told. */
+    long work();
+
+    /** Whether its client says that it has sent it before. */
+    boolean repeat();
+
+    /** Whether it changes anything at the hosts. */
+    boolean write();
+
+    /** Bytes of a body that are held until it is over. */
+    int heldBytes();
+}
--- /dev/null
+++ b/src/main/java/eiderscale/net/Taken.java
@@ -0,0 +1,7 @@
+package eiderscale.net;
+
+/** A request that the core has taken. */
+public interface Taken {
+    /** Its client has left: nothing is owed any more, and what is out for it is given up. */
+    void clientGone();
+}
--- a/src/main/java/eiderscale/net/ConfigFile.java
+++ b/src/main/java/eiderscale/platform/ConfigFile.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.platform;
 
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
--- a/src/main/java/eiderscale/net/Main.java
+++ b/src/main/java/eiderscale/platform/Main.java
@@ -1,8 +1,12 @@
-package eiderscale.net;
+package eiderscale.platform;
 
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
-import eiderscale.Router;
+import eiderscale.meta.MetaProtocol;
+import eiderscale.net.Counters;
+import eiderscale.net.Hangup;
+import eiderscale.net.LibraryLog;
+import eiderscale.net.Node;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -20,11 +24,11 @@
             String path = System.getenv("GW_CONFIG");
             Config config = ConfigFile.read(path);
             EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
-            Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
+            Node node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind))).get();
             // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
             loop.submit(node::start).get().sync();
-            hangup.serve(() -> loop.execute(() -> node.reload(path)));
+            hangup.serve(() -> loop.execute(() -> reload(node, path)));
             Counters.log(config.name() + " serves on " + config.listeners().get(0));
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
@@ -35,6 +39,15 @@
         }
     }
 
+    /** Reads the configuration again; one that cannot be used changes nothing. */
+    static void reload(Node node, String path) {
+        try {
+            node.moveDiscovery(ConfigFile.read(path).discovery());
+        } catch (ConfigException e) {
+            Counters.log("the old configuration stays: " + e.getMessage());
+        }
+    }
+
     private static void stop(Node node, EventLoop loop) {
         try {
             loop.submit(node::stop).get().await();
--- a/src/main/java/eiderscale/net/Rehearsal.java
+++ b/src/main/java/eiderscale/platform/Rehearsal.java
@@ -1,8 +1,10 @@
-package eiderscale.net;
+package eiderscale.platform;
 
 import eiderscale.config.Config;
 import eiderscale.config.PlatformReader;
-import eiderscale.Router;
+import eiderscale.meta.MetaProtocol;
+import eiderscale.net.Counters;
+import eiderscale.net.Node;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.BufferedReader;
@@ -59,7 +61,7 @@
             byte[] json = String.format(CONFIG, discovery.getLocalPort(), host.getLocalPort())
                     .getBytes(StandardCharsets.UTF_8);
             Config config = PlatformReader.config(json);
-            Node node = loop.submit(() -> new Node(config, loop, Router::new)).get();
+            Node node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind))).get();
             InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().channel()
                     .localAddress();
             int answers = ask(address);
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -9,6 +9,7 @@
 import eiderscale.config.HostList;
 import eiderscale.config.Problem;
 import eiderscale.config.Site;
+import eiderscale.meta.MetaProtocol;
 import eiderscale.net.Counters;
 import eiderscale.net.Node;
 import eiderscale.net.Totals;
@@ -62,7 +63,7 @@
         Config config = app.config(seed, null);
         this.site = config.site();
         this.node = loop.submit(() -> {
-            Node made = new Node(config, loop);
+            Node made = new Node(config, loop, new MetaProtocol(site.hostKind));
             if (first != null) {
                 made.onList(Api.ListMode.FULL, first.members(site));
             }
--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -65,14 +65,24 @@
 
     @ArchTest
     static final ArchRule NET_MAKES_THE_MODULE_IN_ONE_PLACE = noClasses().that().resideInAPackage("eiderscale.net")
-            .and().doNotHaveSimpleName("Node").and().doNotHaveSimpleName("Main").and()
-            .doNotHaveSimpleName("Rehearsal").should().dependOnClassesThat().haveFullyQualifiedName(
+            .and().doNotHaveSimpleName("Node").should().dependOnClassesThat().haveFullyQualifiedName(
             "eiderscale.Router");
 
     @ArchTest
     static final ArchRule NET_KNOWS_NOTHING_ABOVE_IT = noClasses().that().resideInAPackage("eiderscale.net").should()
             .dependOnClassesThat().resideInAnyPackage("eiderscale.cli", "eiderscale.sidecar", "eiderscale.standin",
-            "eiderscale.sim");
+            "eiderscale.sim", "eiderscale.platform", "eiderscale.meta");
+
+    @ArchTest
+    static final ArchRule META_KNOWS_NOTHING_ABOVE_IT = noClasses().that().resideInAPackage("eiderscale.meta")
+            .should().dependOnClassesThat().resideInAnyPackage("eiderscale.cli", "eiderscale.sidecar",
+            "eiderscale.standin", "eiderscale.sim", "eiderscale.platform");
+
+    /** Which host, whether again, what is refused: no protocol decides that. */
+    @ArchTest
+    static final ArchRule META_KNOWS_OF_THE_MODULE_ITS_INTERFACE_ALONE = noClasses().that()
+            .resideInAPackage("eiderscale.meta").should().dependOnClassesThat(resideInAPackage("eiderscale")
+            .and(DescribedPredicate.not(nameMatching("eiderscale\\.Api(\\$.*)?"))));
 
     @ArchTest
     static final ArchRule THE_SIMULATORS_ADAPTER_HAS_NO_SOCKETS = noClasses().that()
@@ -87,7 +97,7 @@
     /** On the platform neither an application's file is read nor its command line: no path from net leads there. */
     @ArchTest
     static final ArchRule THE_PLATFORM_READS_NO_APPLICATIONS_FILE = noClasses().that().resideInAnyPackage(
-            "eiderscale.net", "eiderscale.sim").should().transitivelyDependOnClassesThat().resideInAnyPackage(
+            "eiderscale.platform", "eiderscale.net", "eiderscale.sim").should().transitivelyDependOnClassesThat().resideInAnyPackage(
             "org.tomlj..", "picocli..");
 
     @ArchTest
--- a/src/test/java/eiderscale/net/AcceptStormTest.java
+++ b/src/test/java/eiderscale/net/AcceptStormTest.java
@@ -46,7 +46,7 @@
             Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
             ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS
                     + "; exec \"$0\" \"$@\"", Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "eiderscale.net.Main");
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "eiderscale.platform.Main");
             builder.environment().put("GW_CONFIG", config.toString());
             Process process = builder.redirectErrorStream(true).start();
             try {
--- a/src/test/java/eiderscale/net/BadInputTest.java
+++ b/src/test/java/eiderscale/net/BadInputTest.java
@@ -8,8 +8,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.Unpooled;
-import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Semaphore;
@@ -128,33 +126,6 @@
         }
     }
 
-    private static void write(EmbeddedChannel channel, String text) {
-        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
-    }
-
-    /** What is announced costs nothing: many such lines once filled the heap without a byte of data. */
-    @Test
-    void memoryIsTakenForWhatArrivesAndNoMore() throws Exception {
-        Budget budget = new Budget(70_000);
-        EmbeddedChannel channel = new EmbeddedChannel(new MetaDecoder(MetaParser.ofCommands(budget)));
-        write(channel, "ms 1 65536 O1\r\n");
-        assertEquals(0, budget.held());
-        write(channel, "x".repeat(3_000));
-        assertEquals(3_000, budget.held());
-        EmbeddedChannel other = new EmbeddedChannel(new MetaDecoder(MetaParser.ofCommands(budget)));
-        write(other, "ms 1 65536 O1\r\n" + "y".repeat(40_000));
-        write(channel, "x".repeat(62_536) + "\r\n");
-        MetaFrame frame = channel.readInbound();
-        assertEquals("SERVER_ERROR out of memory", frame.fault());
-        assertTrue(frame.last());
-        write(other, "y".repeat(25_536) + "\r\n");
-        frame = other.readInbound();
-        assertEquals(65_536, frame.data().length);
-        other.finishAndReleaseAll();
-        assertEquals(0, budget.held());
-        channel.finishAndReleaseAll();
-    }
-
     @Test
     void commandsMayComeByteByByte() throws Exception {
         try (Rig rig = new Rig(FakeHost.serving()).start(); Peer client = rig.client()) {
@@ -199,7 +170,5 @@
         bad(good.replace("\"categories\"", "\"categories-x\""));
         bad(good.replace("\"multiplex\":1", "\"multiplex\":0"));
         bad(good.replace("0.2", "\"cold\""));
-        assertThrows(ConfigException.class, () -> ConfigFile.read(null));
-        assertThrows(ConfigException.class, () -> ConfigFile.read("/nonexistent/config.json"));
     }
 }
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderscale.platform.Reloads;
 import eiderscale.Api;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -169,7 +170,7 @@
     }
 
     private static void reload(Rig rig, Path config) throws Exception {
-        rig.loop.submit(() -> rig.node.reload(config.toString())).get();
+        rig.loop.submit(() -> Reloads.reload(rig.node, config.toString())).get();
     }
 
     /** Rendezvous hashing needs one id for a host at all balancers, whose addresses for it differ. */
--- a/src/test/java/eiderscale/net/Rig.java
+++ b/src/test/java/eiderscale/net/Rig.java
@@ -4,6 +4,7 @@
 import eiderscale.config.Json;
 import eiderscale.config.PlatformReader;
 import eiderscale.config.Site;
+import eiderscale.meta.MetaProtocol;
 import eiderscale.Router;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -90,7 +91,7 @@
         group = new NioEventLoopGroup(1);
         loop = group.next();
         Config config = PlatformReader.config(config("127.0.0.1:0").getBytes(StandardCharsets.UTF_8));
-        node = loop.submit(() -> new Node(config, loop, module)).get();
+        node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind), module)).get();
         address = (InetSocketAddress) loop.submit(node::start).get().sync().channel().localAddress();
         return this;
     }
--- a/src/test/java/eiderscale/net/ServingTest.java
+++ b/src/test/java/eiderscale/net/ServingTest.java
@@ -260,7 +260,7 @@
 
     @Test
     void theLongestValueIsServedWhole() throws Exception {
-        String value = "v".repeat(MetaFrame.MOST_VALUE);
+        String value = "v".repeat(64 * 1024);
         try (Rig rig = new Rig(FakeHost.answering(c -> FakeHost.value(c, value))).start();
                 Peer client = rig.client()) {
             assertEquals("VA 65536 O1", client.ask(Rig.READ));
--- a/src/test/java/eiderscale/net/StopTest.java
+++ b/src/test/java/eiderscale/net/StopTest.java
@@ -28,7 +28,7 @@
 
     @Test
     void aStopServesOnForAWhileThenFinishesWhatIsOpen() throws Exception {
-        String value = "v".repeat(MetaFrame.MOST_VALUE);
+        String value = "v".repeat(64 * 1024);
         FakeHost[] host = new FakeHost[1];
         host[0] = new FakeHost(peer -> {
             String command = host[0].next(peer);
@@ -67,7 +67,7 @@
     private Process start(String config) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp", System.getProperty("java.class.path"),
-                "eiderscale.net.Main");
+                "eiderscale.platform.Main");
         builder.environment().remove("GW_CONFIG");
         if (config != null) {
             builder.environment().put("GW_CONFIG", config);
@@ -128,7 +128,7 @@
             Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:" + port));
             ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 96; exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                    "-cp", System.getProperty("java.class.path"), "eiderscale.net.Main");
+                    "-cp", System.getProperty("java.class.path"), "eiderscale.platform.Main");
             builder.environment().put("GW_CONFIG", config.toString());
             Process process = builder.start();
             try {
--- a/src/test/java/eiderscale/net/RehearsalTest.java
+++ b/src/test/java/eiderscale/platform/RehearsalTest.java
@@ -1,4 +1,4 @@
-package eiderscale.net;
+package eiderscale.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
