--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -20,7 +20,7 @@
 class ArchitectureTest {
     /** Packages without I/O, clock and threads. */
     private static final String[] PURE = {"eiderscale", "eiderscale.config",
-        "eiderscale.connections"};
+        "eiderscale.connections", "eiderscale.http.cache"};
 
     private static final DescribedPredicate<JavaClass> MACHINERY = resideInAnyPackage("java.io..", "java.nio.file..",
             "java.nio.channels..", "java.util.concurrent..", "java.time", "java.util.logging..", "io.netty.channel..",
@@ -57,6 +57,11 @@
             .should().dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(
             resideInAPackage("eiderscale.connections"))));
 
+    @ArchTest
+    static final ArchRule THE_HTTP_CACHES_RULES_KNOW_NOBODY = noClasses().that()
+            .resideInAPackage("eiderscale.http.cache").should().dependOnClassesThat(resideInAPackage("eiderscale..")
+            .and(DescribedPredicate.not(resideInAPackage("eiderscale.http.cache"))));
+
     /** Routing, retries and hedging are the module's: net may start it and must not look inside. */
     @ArchTest
     static final ArchRule NET_DECIDES_NOTHING = noClasses().that().resideInAPackage("eiderscale.net").should()
