--- a/src/main/java/eiderscale/http/cache/Stored.java
+++ b/src/main/java/eiderscale/http/cache/Stored.java
@@ -25,6 +25,14 @@
         return date == HttpDate.NONE ? came / 1000 : date;
     }
 
+    /** The same with another part of the body, or the whole of it. */
+    Stored covering(ContentRange all) {
+        boolean whole = all.first() == 0 && all.bytes() == all.length();
+        Fields told = fields.without(name -> name.equals("content-range") || name.equals("content-length"))
+                .updatedBy(Fields.of("content-length", String.valueOf(all.bytes())));
+        return new Stored(whole ? 200 : 206, told, selecting, control, freshness, asked, came, whole ? null : all);
+    }
+
     /** What it takes beside its body, in bytes. */
     public int weight() {
         return 160 + fields.weight() + selecting.weight();
