--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -105,6 +105,16 @@
             "eiderscale.platform", "eiderscale.net", "eiderscale.sim").should().transitivelyDependOnClassesThat().resideInAnyPackage(
             "org.tomlj..", "picocli..");
 
+    /** Nothing of HTTP is loaded where it is not used, and on the platform it is not. */
+    @ArchTest
+    static final ArchRule THE_PLATFORM_LOADS_NO_HTTP = noClasses().that().resideInAnyPackage("eiderscale.platform",
+            "eiderscale.meta", "eiderscale.net", "eiderscale.sim").should().transitivelyDependOnClassesThat()
+            .resideInAnyPackage("eiderscale.http..", "com.github.benmanes..");
+
+    @ArchTest
+    static final ArchRule ONLY_THE_STORE_KNOWS_CAFFEINE = noClasses().that().doNotHaveSimpleName("Store").should()
+            .dependOnClassesThat().resideInAnyPackage("com.github.benmanes..");
+
     @ArchTest
     static final ArchRule ONLY_THE_READER_KNOWS_TOML = noClasses().that().doNotHaveSimpleName("Reader").should()
             .dependOnClassesThat().resideInAnyPackage("org.tomlj..");
