--- a/src/main/java/eiderscale/http/Store.java
+++ b/src/main/java/eiderscale/http/Store.java
@@ -5,6 +5,7 @@
 import com.github.benmanes.caffeine.cache.stats.CacheStats;
 import eiderscale.http.cache.CacheKey;
 import eiderscale.http.cache.Copy;
+import eiderscale.http.cache.Shelf;
 import eiderscale.http.cache.Variants;
 import java.util.function.Consumer;
 
@@ -13,7 +14,7 @@
  * (W-TinyLFU: Einziger, Friedman, Manes, "TinyLFU: A Highly Efficient Cache Admission Policy", 2017). All of its work is
  * done by the caller; for one thread. What fails here costs the copy and nothing else.
  */
-public final class Store {
+public final class Store implements Shelf {
     /** What an entry costs in the map and its queues beside key and value, in bytes. */
     private static final int ENTRY = 120;
     /** One object that takes more of the store than this part of it would push out too much at once. */
@@ -38,6 +39,7 @@
     }
 
     /** What is stored under a key; none if that fails. */
+    @Override
     public Variants get(CacheKey key) {
         try {
             Variants found = cache.getIfPresent(key);
@@ -48,29 +50,30 @@
         }
     }
 
-    /** Whether a body of this length may be kept: to be asked before it is collected. */
+    @Override
     public boolean takes(long bytes) {
         return bytes <= mostObject;
     }
 
-    /** Keeps a response; false if it is too large or that fails. It need not stay. */
-    public boolean put(CacheKey key, Copy copy) {
-        return takes(copy.weight()) && set(key, get(key).with(copy));
+    /** Keeps a response, in place of what answered the same requests. It need not stay. */
+    public void put(CacheKey key, Copy copy) {
+        if (takes(copy.weight())) {
+            set(key, get(key).with(copy));
+        }
     }
 
-    /** Puts what a key has in place of what it had; false if that fails. */
-    public boolean set(CacheKey key, Variants variants) {
+    /** Where that fails, or it is too large for the store, the key has nothing. */
+    @Override
+    public void set(CacheKey key, Variants variants) {
         try {
-            if (variants.isEmpty()) {
+            if (variants.isEmpty() || weight(key, variants) > mostBytes / MOST_PART) {
                 cache.invalidate(key);
             } else {
                 cache.put(key, variants);
             }
-            return true;
         } catch (RuntimeException e) {
             faults.accept("the store failed: " + e);
             remove(key);
-            return false;
         }
     }
 
