Hundreds of connections fall due at once while requests are open

Change: 450 connections that rest since one moment, with a limit of 1 s: 100 have a request open across it, 150 send one, 2 ms apart, from 100 ms before it to 200 ms after it, 200 say nothing.

--- a/src/test/java/eiderscale/sidecar/ManyClientsTest.java
+++ b/src/test/java/eiderscale/sidecar/ManyClientsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderscale.net.Totals;
 import eiderscale.standin.Injury;
 import eiderscale.standin.StandInHost;
 import java.net.InetAddress;
@@ -207,4 +208,66 @@
             }
         }
     }
+
+    /**
+     * Hundreds of connections fall due in one moment. Those with a command open get its answer first; a command that
+     * comes as they are closed is answered, or finds an orderly end and never a reset.
+     */
+    @Test
+    void aMassTimeOutCutsNoOpenRequestAndResetsNobody() throws Exception {
+        List<Talk> counters = new ArrayList<>();
+        try (Fleet fleet = new Fleet(folder)) {
+            fleet.write(fleet.base().replace("descriptors = 1024", "descriptors = 1024\nclients = 600")
+                    .replace("retries = 1", "retries = 1\nidle = \"1s\"")).start();
+            for (int i = 0; i < 450; i++) {
+                counters.add(fleet.client());
+            }
+            for (int i = 0; i < 450; i++) {
+                counters.get(i).send(String.format(VIEW, i) + "\r\n");
+            }
+            for (Talk talk : counters) {
+                assertTrue(talk.answer() != null);
+            }
+            long rested = System.nanoTime();
+            fleet.first.script(command -> new StandInHost.Turn(Injury.NONE, 1_300));
+            fleet.second.script(command -> new StandInHost.Turn(Injury.NONE, 1_300));
+            // These are open while the others fall due.
+            for (int i = 0; i < 100; i++) {
+                counters.get(i).send(String.format(VIEW, i) + "\r\n");
+            }
+            // These ask all through the moment, one after the other.
+            for (int i = 100; i < 250; i++) {
+                long at = rested + (700 + 2L * i) * 1_000_000;
+                Thread.sleep(Math.max(0, (at - System.nanoTime()) / 1_000_000));
+                try {
+                    counters.get(i).send(String.format(VIEW, i) + "\r\n");
+                } catch (java.io.IOException e) {
+                    assertTrue(e.getMessage().contains("Broken pipe"), "closed long before: " + e);
+                }
+            }
+            for (int i = 0; i < 100; i++) {
+                String answer = counters.get(i).answer();
+                assertTrue(answer != null && (answer.endsWith(" O" + i) || answer.startsWith("SERVER_ERROR")),
+                        "open request " + i + ": " + answer);
+            }
+            int answered = 0;
+            for (int i = 100; i < 250; i++) {
+                String answer = counters.get(i).answer();
+                assertTrue(answer == null || answer.endsWith(" O" + i) || answer.startsWith("SERVER_ERROR"),
+                        "in the moment, " + i + ": " + answer);
+                answered += answer == null ? 0 : 1;
+            }
+            for (Talk idle : counters.subList(250, 450)) {
+                assertNull(idle.line(), "told to go");
+            }
+            Totals totals = fleet.sidecar.totals();
+            assertEquals(450 + 100 + answered, totals.taken());
+            assertEquals(totals.taken(), totals.served() + totals.refused() + totals.failed());
+            assertEquals(0, totals.gone());
+        } finally {
+            for (Talk talk : counters) {
+                talk.close();
+            }
+        }
+    }
 }
