A streamed answer's latency ends with its first byte

Need: answers that stream last as long as their bodies and their clients make them last; taken for the latency of their host they would open its breaker, and alarms that were set before would count as overload.

Change: at the first byte the module learns the latency and drops the flight's alarms; at the end it takes the time that the outcome tells. Answers that come whole are treated as before.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -326,6 +326,10 @@
         Flight flight = flights.get(request);
         if (flight != null && !flight.ended) {
             flight.streaming = true;
+            // From here on it lasts as long as its body and its client make it last: that tells of no host.
+            flight.slowAt = NEVER;
+            flight.hedgeAt = NEVER;
+            learnLatency(now, flight, flight.attempts[attempt].host);
             cancelPending(flight, attempt);
         }
     }
@@ -355,16 +359,17 @@
         }
         boolean broken = outcome.reason() == Reason.REJECTED && isIdle(outcome.report());
         boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
-        health.onEnd(now, attempt.host, outcome.reason(), now - attempt.sentAt, suspect);
-        learn(now, flight, attempt, outcome.reason(), broken, isUnexplained(outcome.report()));
+        long took = flight.streaming ? outcome.took() : now - attempt.sentAt;
+        health.onEnd(now, attempt.host, outcome.reason(), took, suspect);
+        learn(now, took, flight, attempt, outcome.reason(), broken, isUnexplained(outcome.report()));
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
         }
         if (flight.ended) {
             end(now, flight);
         } else if (outcome.closed()) {
-            if (outcome.reason() == Reason.OK && !flight.request.write() && !health.isOrigin(attempt.host)) {
-                hedging.served(now, now - flight.attempts[0].sentAt);
+            if (outcome.reason() == Reason.OK && !flight.streaming) {
+                learnLatency(now, flight, attempt.host);
             }
             for (int i = 0; i < outcome.attempt(); i++) {
                 flight.attempts[i].overtaken = flight.attempts[i].pending;
@@ -397,12 +402,18 @@
         return reportsCome && report.length == 0;
     }
 
-    private void learn(long now, Flight flight, Attempt attempt, Reason reason, boolean broken,
+    private void learnLatency(long now, Flight flight, Host host) {
+        if (!flight.request.write() && !health.isOrigin(host)) {
+            hedging.served(now, now - flight.attempts[0].sentAt);
+        }
+    }
+
+    private void learn(long now, long took, Flight flight, Attempt attempt, Reason reason, boolean broken,
                        boolean unexplained) {
         if (flight.ordered() && !reason.neverRan) {
-            admission.writeTook(now - attempt.sentAt);
+            admission.writeTook(took);
         }
-        boolean quick = now - attempt.sentAt < admission.slowAfter(flight.requestClass);
+        boolean quick = took < admission.slowAfter(flight.requestClass);
         boolean full = reason == Reason.REJECTED && !broken && !unexplained;
         if (!health.isOrigin(attempt.host) && (full || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
@@ -411,7 +422,7 @@
         }
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
-            admission.fillResult(reason != Reason.OK || now - attempt.sentAt > flight.requestClass.aim());
+            admission.fillResult(reason != Reason.OK || took > flight.requestClass.aim());
         } else if (!settings.aside() && flight.request.write()
                 && (reason == Reason.ERROR || reason == Reason.OK)) { // a time-out tells nothing
             admission.fillResult(reason != Reason.OK);
