The core streams answers and serves several pools of hosts

Need: HTTP bodies are not held whole, and its routes name pools; the core knew whole answers and one pool.

Change: a host protocol may say that an answer has begun: its client has it from there, other attempts end, a limit on stalls takes the place of the cut, and a client that leaves ends it. A request may say that it cannot go out again, and a protocol that a request may run before its last byte has left. A node holds a balancer for each pool.

--- a/src/main/java/eiderscale/config/Site.java
+++ b/src/main/java/eiderscale/config/Site.java
@@ -14,7 +14,9 @@
         /** Hosts that read through, as the platform's do. */
         META,
         /** Real memcached: a read that misses is answered so. */
-        MEMCACHED
+        MEMCACHED,
+        /** Hosts that speak HTTP/1.1. */
+        HTTP
     }
 
     /** Load report fields: their names on sockets and in the settings, where these differ. */
@@ -28,9 +30,13 @@
     public final long connectTimeout;
     public final long idleTime;
     public final int maxOpen;
+    /** How long a host may send nothing of an answer that has begun. */
+    public final long stallTime;
     public final HostKind hostKind;
     /** Picks the class of a request; null where clients name it and nothing else counts. */
     public final Routes routes;
+    /** What is said of HTTP; null where nothing is. */
+    public final HttpRules http;
     private final String defaultTenant;
     private final Map<String, Integer> classes;
     private final Map<String, Integer> tenants;
@@ -44,8 +50,10 @@
         long connectTimeout;
         long idleTime;
         int maxOpen;
+        long stallTime = 10 * Units.SECOND;
         HostKind hostKind = HostKind.META;
         Routes routes;
+        HttpRules http;
         /** The tenant of clients that name none; null if they must. */
         String defaultTenant;
         Map<String, Integer> classes = Map.of();
@@ -75,8 +83,10 @@
         connectTimeout = from.connectTimeout;
         idleTime = from.idleTime;
         maxOpen = from.maxOpen;
+        stallTime = from.stallTime;
         hostKind = from.hostKind;
         routes = from.routes;
+        http = from.http;
         defaultTenant = from.defaultTenant;
         classes = Map.copyOf(from.classes);
         tenants = Map.copyOf(from.tenants);
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -242,7 +242,7 @@
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
             }
-            if (!mayAskFor(command)) {
+            if (!mayAskFor(command.tenant())) {
                 refuse(slot, core().retryAfterMs(PLACE_WAIT));
                 return;
             }
--- a/src/main/java/eiderscale/net/Attempt.java
+++ b/src/main/java/eiderscale/net/Attempt.java
@@ -13,6 +13,10 @@
     final long cutAt;
     /** Set once, with the attempt's one outcome. */
     boolean over;
+    /** When its answer began to come; 0 before that, and where answers come whole. From then on it has no cut. */
+    long begunAt;
+    /** When the last of a body came that has begun. */
+    long partAt;
     /** The connection that carries it, or will once it is up; null before and after. */
     HostPool.Link link;
 
@@ -28,6 +32,11 @@
         return link != null && link.written();
     }
 
+    /** How long its answer took, or the first of it. */
+    long took(long now) {
+        return (begunAt == 0 ? now : begunAt) - sentAt;
+    }
+
     @Override
     protected void fire(long now) {
         exchange.generation.balancer().cut(this);
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -123,6 +123,13 @@
         if (close(exchange)) {
             counters.clientsGone++;
             post(exchange, () -> exchange.generation.module.onClientGone(Clock.now(), exchange.id));
+        } else {
+            // Answered: what still comes of it is for nobody.
+            for (Attempt attempt : List.copyOf(exchange.attempts)) {
+                if (attempt.begunAt != 0) {
+                    drop(attempt, Reason.CANCELLED);
+                }
+            }
         }
     }
 
@@ -158,6 +165,29 @@
         end(attempt, reason, answer);
     }
 
+    /** Its client has its final answer from here on, whatever becomes of the rest: nothing follows it. */
+    @Override
+    public void onBegun(Attempt attempt, Answer answer) {
+        if (attempt.over) {
+            return;
+        }
+        Exchange exchange = attempt.exchange;
+        long now = Clock.now();
+        attempt.begunAt = now;
+        attempt.partAt = now;
+        timers.set(attempt, now + exchange.generation.site.stallTime);
+        post(exchange, () -> {
+            if (exchange.over) {
+                drop(attempt, Reason.CANCELLED);
+                return;
+            }
+            counters.served++;
+            close(exchange);
+            exchange.client.served(answer);
+            exchange.generation.module.onFirstByte(Clock.now(), exchange.id, attempt.number);
+        });
+    }
+
     /** Discovery is to be found elsewhere. */
     void moveDiscovery(InetSocketAddress address) {
         discovery.moveTo(address);
@@ -306,8 +336,8 @@
             }
             float[] report = exchange.generation.site.report(answer == null ? null : answer.loadReport());
             long now = Clock.now();
-            exchange.generation.module.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason, now - attempt.sentAt,
-                    exchange.over, report));
+            exchange.generation.module.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason,
+                    attempt.took(now), exchange.over, report));
         });
     }
 
@@ -362,7 +392,7 @@
         counters.copies += exchange.pending > 0 ? 1 : 0;
         exchange.pending++;
         boolean tooMany = exchange.attempts.size() > exchange.generation.site.settings.maxAttempts();
-        if (exchange.over || tooMany || now >= exchange.deadline) {
+        if (exchange.over || tooMany || now >= exchange.deadline || !exchange.request.maySend()) {
             end(attempt, Reason.MOOT, null);
         } else if (now >= cut) {
             end(attempt, Reason.TIMEOUT, null);
@@ -374,11 +404,29 @@
 
     /** The wait for an attempt is over. */
     void cut(Attempt attempt) {
+        if (attempt.begunAt != 0) {
+            stalled(attempt);
+            return;
+        }
         counters.timer(Clock.now() - attempt.cutAt);
         // What never left cannot have run: its connection did not come up in time.
         drop(attempt, attempt.written() ? Reason.TIMEOUT : Reason.CONNECT_FAILED);
     }
 
+    /** Of an answer that has begun nothing came for a while; where its client takes nothing, that is not the host's. */
+    private void stalled(Attempt attempt) {
+        long stallTime = attempt.exchange.generation.site.stallTime;
+        long now = Clock.now();
+        if (attempt.link != null && attempt.link.isHeldBack()) {
+            attempt.partAt = now;
+        }
+        if (now < attempt.partAt + stallTime) {
+            timers.set(attempt, attempt.partAt + stallTime);
+        } else {
+            drop(attempt, Reason.TIMEOUT);
+        }
+    }
+
     void cancel(long request, int attempt) {
         Exchange exchange = exchanges.get(request);
         if (exchange != null && attempt < exchange.attempts.size()) {
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -60,7 +60,12 @@
     // What a front asks and tells.
 
     protected final Core core() {
-        return server.core();
+        return server.core(0);
+    }
+
+    /** What serves the requests of one of several pools, by its number. */
+    protected final Core core(int pool) {
+        return server.core(pool);
     }
 
     protected final SocketChannel channel() {
@@ -117,8 +122,8 @@
     }
 
     /** Whether its tenant may ask on it; false if that one has connections enough, and the request is refused. */
-    protected final boolean mayAskFor(Request request) {
-        return server.asksFor(member, request.tenant());
+    protected final boolean mayAskFor(int tenant) {
+        return server.asksFor(member, tenant);
     }
 
     /** So many bytes more, or fewer, of answers are not taken by their clients yet. */
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -41,7 +41,7 @@
     private static final long TICK = 50 * Clock.MILLISECOND;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
 
-    private final Balancer balancer;
+    private final List<Balancer> balancers;
     private final EventLoop loop;
     private final Counters counters;
     private final Front front;
@@ -62,10 +62,10 @@
     private boolean closing;
     private long sweptAt = Clock.now();
 
-    ClientServer(Balancer balancer, EventLoop loop, Counters counters, Front front, ConnectionLimits limits,
+    ClientServer(List<Balancer> balancers, EventLoop loop, Counters counters, Front front, ConnectionLimits limits,
                  boolean halfClose) {
         this.halfClose = halfClose;
-        this.balancer = balancer;
+        this.balancers = List.copyOf(balancers);
         this.front = front;
         this.loop = loop;
         this.counters = counters;
@@ -224,8 +224,8 @@
         return table.asksFor(member, tenant);
     }
 
-    Core core() {
-        return balancer;
+    Core core(int pool) {
+        return balancers.get(pool);
     }
 
     /** Bytes of answers, over all connections, that clients have not taken. */
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -13,6 +13,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
@@ -34,6 +38,9 @@
     /** Hears how attempts end, but for those that it abandoned itself. */
     interface Listener {
         void onAnswer(Attempt attempt, Reason reason, Answer answer);
+
+        /** A good answer has begun to come; {@link #onAnswer} follows at its end. */
+        void onBegun(Attempt attempt, Answer answer);
     }
 
     /** Part of the hosts' idle time after which a connection is retired: a request that crossed the close
@@ -215,6 +222,8 @@
         /** Its answer has come and the read that brought it is not over. */
         private boolean answered;
         private boolean counted;
+        /** Some of it has left, of a request that may run by that. */
+        private boolean partly;
 
         private Link(Host host) {
             this.host = host;
@@ -251,7 +260,12 @@
         }
 
         boolean written() {
-            return sent != null && sent.isSuccess();
+            return sent != null && (partly || sent.isSuccess());
+        }
+
+        /** Whether what comes is left alone for now, as its client does not take it. */
+        boolean isHeldBack() {
+            return !channel.config().isAutoRead();
         }
 
         @Override
@@ -272,9 +286,37 @@
                 finish(Reason.CONNECT_FAILED, null, true);
                 return;
             }
+            if (!attempt.exchange.request.maySend()) {
+                finish(Reason.MOOT, null, true);
+                return;
+            }
             long leftMs = Math.max(1, (attempt.cutAt - now) / Clock.MILLISECOND);
             ByteBuf bytes = dialog.encode(attempt.exchange.request, channel.alloc(), leftMs);
-            sent = channel.writeAndFlush(bytes);
+            ChannelPromise promise = channel.newPromise();
+            partly = false;
+            if (dialog.runsInPart(attempt.exchange.request)) {
+                ChannelProgressivePromise told = channel.newProgressivePromise();
+                told.addListener(new Progress());
+                promise = told;
+            }
+            sent = promise;
+            channel.writeAndFlush(bytes, promise);
+            if (attempt != null) {
+                dialog.sent(attempt.exchange.request, channel);
+            }
+        }
+
+        /** Hears of bytes that have left while others have not. */
+        private final class Progress implements ChannelProgressiveFutureListener {
+            @Override
+            public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+                partly |= future == sent && progress > 0;
+            }
+
+            @Override
+            public void operationComplete(ChannelProgressiveFuture future) {
+                // Seen in the future itself.
+            }
         }
 
         @Override
@@ -293,11 +335,15 @@
                 return;
             }
             HostProtocol.Verdict verdict = dialog.judge(attempt.exchange.request, message);
-            if (verdict.reason() == null) {
+            if (verdict.stage() == HostProtocol.Stage.PART) {
+                attempt.partAt = Clock.now();
+            } else if (verdict.stage() == HostProtocol.Stage.BEGUN) {
+                listener.onBegun(attempt, verdict.answer());
+            } else if (verdict.reason() == null) {
                 counters.noise("a cache host broke the protocol: " + verdict.fault());
                 finish(Reason.ERROR, null, true);
             } else {
-                finish(verdict.reason(), verdict.answer(), !written());
+                finish(verdict.reason(), verdict.answer(), !sent.isSuccess());
             }
         }
 
@@ -369,6 +415,11 @@
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            dialog.writabilityChanged();
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             lost();
@@ -379,12 +430,14 @@
             if (!(cause instanceof java.io.IOException)) {
                 counters.unexpected("on a connection to a cache host", cause);
             }
+            dialog.lost();
             ctx.close();
         }
 
         private void lost() {
             leaveIdle();
             uncount();
+            dialog.lost();
             if (attempt != null) {
                 // Before its last byte has left a request cannot run; after that it may have.
                 Reason reason = written() ? Reason.RESET : Reason.CONNECT_FAILED;
--- a/src/main/java/eiderscale/net/HostProtocol.java
+++ b/src/main/java/eiderscale/net/HostProtocol.java
@@ -3,20 +3,43 @@
 import eiderscale.Api.Reason;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 
 /** One protocol, as cache hosts speak it. It is given the requests of its own fronts only. */
 public interface HostProtocol {
+    /** How far a message brings an answer. */
+    enum Stage {
+        /** No further: something before the answer, or a part of a body that has begun. */
+        PART,
+        /** The answer is good and goes to the client now; more of it follows, with {@link #END} behind that. */
+        BEGUN,
+        /** To its end. */
+        END
+    }
+
     /** What an answer means. {@code reason}: null for what the protocol does not allow, which {@code fault} names. */
-    record Verdict(Reason reason, Answer answer, String fault) {
-        /** An answer that means something. */
+    record Verdict(Stage stage, Reason reason, Answer answer, String fault) {
+        private static final Verdict PART = new Verdict(Stage.PART, null, null, null);
+
+        /** A whole answer that means something, or the end of one that has begun. */
         public static Verdict of(Reason reason, Answer answer) {
-            return new Verdict(reason, answer, null);
+            return new Verdict(Stage.END, reason, answer, null);
+        }
+
+        /** A good answer of which more is to come. */
+        public static Verdict begun(Answer answer) {
+            return new Verdict(Stage.BEGUN, Reason.OK, answer, null);
+        }
+
+        /** Nothing that decides anything. */
+        public static Verdict part() {
+            return PART;
         }
 
         /** What breaks the protocol. */
         public static Verdict broken(String fault) {
-            return new Verdict(null, null, fault);
+            return new Verdict(Stage.END, null, null, fault);
         }
     }
 
@@ -31,8 +54,28 @@
         /** What a message of the decoder means as the answer to a request. */
         Verdict judge(Request request, Object message);
 
-        /** Whether not a byte is here behind the last answer. */
+        /** Whether another request may follow: not a byte is here behind the last answer, and nothing forbids it. */
         boolean isClean();
+
+        /**
+         * Whether a request may run before its last byte has left, as one may whose host reads a body piece by piece:
+         * then the first byte counts.
+         */
+        default boolean runsInPart(Request request) {
+            return false;
+        }
+
+        /** What was encoded is being written; a body that is still coming follows it there. */
+        default void sent(Request request, Channel channel) {
+        }
+
+        /** The connection takes bytes again, or no more for now. */
+        default void writabilityChanged() {
+        }
+
+        /** The connection is gone, or the wait for its answer was given up: what has begun ends here. */
+        default void lost() {
+        }
     }
 
     /** Begins a conversation. */
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -28,23 +28,35 @@
     private final EventLoop loop;
     private final Counters counters = new Counters();
     private final Budget budget;
-    private final Balancer balancer;
+    /** One for each pool of hosts. */
+    private final List<Balancer> balancers;
     private final ClientServer server;
     private int sweeps;
 
     /** To be called on the loop, as all of this class; throws nothing that {@code config} does not cause. */
     public Node(Config config, EventLoop loop, Protocol protocol) {
-        this(config, loop, protocol, Router::new);
+        this(List.of(config), loop, protocol, Router::new);
+    }
+
+    /** With several pools of hosts, one for each of {@code configs}, of which the first tells all but the hosts. */
+    public Node(List<Config> configs, EventLoop loop, Protocol protocol) {
+        this(configs, loop, protocol, Router::new);
     }
 
     Node(Config config, EventLoop loop, Protocol protocol, Balancer.Module module) {
-        this.config = config;
+        this(List.of(config), loop, protocol, module);
+    }
+
+    private Node(List<Config> configs, EventLoop loop, Protocol protocol, Balancer.Module module) {
+        this.config = configs.get(0);
         this.loop = loop;
         budget = new Budget(config.heldBytes());
         DescriptorPlan plan = config.plan();
         ClientLimits clients = config.clients();
-        balancer = new Balancer(config, loop, counters, module, budget, protocol.hosts(), plan.links());
-        server = new ClientServer(balancer, loop, counters, protocol.front(budget),
+        int links = Math.max(1, plan.links() / configs.size());
+        balancers = configs.stream().map(one -> new Balancer(one, loop, counters, module, budget, protocol.hosts(), links))
+                .toList();
+        server = new ClientServer(balancers, loop, counters, protocol.front(budget),
                 ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), clients.perSource(),
                         clients.perTenant(), clients.idle()), clients.halfClose());
     }
@@ -70,7 +82,7 @@
     }
 
     void sweep() {
-        balancer.sweep();
+        balancers.forEach(Balancer::sweep);
         server.sweep(SWEEP_MS * Clock.MILLISECOND);
         if (++sweeps % SWEEPS_PER_PRINT == 0) {
             print();
@@ -82,12 +94,18 @@
     }
 
     String gauges() {
-        return "clients " + server.clients() + " told-to-go " + server.toldToGo() + " held " + budget.held() + " " + balancer.gauges();
+        return "clients " + server.clients() + " told-to-go " + server.toldToGo() + " held " + budget.held() + " "
+                + String.join(" ", balancers.stream().map(Balancer::gauges).toList());
     }
 
     /** A list of hosts from elsewhere than discovery. */
     public void onList(Api.ListMode mode, List<Catalog.Member> members) {
-        balancer.onList(mode, members);
+        onList(0, mode, members);
+    }
+
+    /** The same for one of several pools, by its number. */
+    public void onList(int pool, Api.ListMode mode, List<Catalog.Member> members) {
+        balancers.get(pool).onList(mode, members);
     }
 
     /**
@@ -95,17 +113,24 @@
      * the present one: they cannot change under way.
      */
     public void renew(Site site) {
-        balancer.renew(site);
+        renew(List.of(site));
+    }
+
+    /** The same for several pools, in the order of their numbers. */
+    public void renew(List<Site> sites) {
+        for (int i = 0; i < sites.size(); i++) {
+            balancers.get(i).renew(sites.get(i));
+        }
     }
 
     /** Follows discovery to another address. */
     public void moveDiscovery(InetSocketAddress address) {
-        balancer.moveDiscovery(address);
+        balancers.get(0).moveDiscovery(address);
     }
 
     /** How many hosts the lists name at present. */
     public int hosts() {
-        return balancer.hosts();
+        return balancers.stream().mapToInt(Balancer::hosts).sum();
     }
 
     /** What has been counted since the start. */
@@ -116,7 +141,7 @@
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     public Future<Void> stop() {
         Promise<Void> done = loop.newPromise();
-        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + balancer.longestDeadline();
+        long end = Clock.now() + ACCEPT_ON_MS * Clock.MILLISECOND + balancers.stream().mapToLong(Balancer::longestDeadline).max().orElse(0);
         loop.schedule(() -> {
             closeClients();
             await(done, end);
@@ -129,9 +154,13 @@
         server.close();
     }
 
+    private int open() {
+        return balancers.stream().mapToInt(Balancer::open).sum();
+    }
+
     private void await(Promise<Void> done, long end) {
         // By the end every deadline has passed: only a client that does not read can still be there.
-        if (server.clients() == 0 && balancer.open() == 0 || Clock.now() >= end) {
+        if (server.clients() == 0 && open() == 0 || Clock.now() >= end) {
             print();
             done.setSuccess(null);
         } else {
--- a/src/main/java/eiderscale/net/Request.java
+++ b/src/main/java/eiderscale/net/Request.java
@@ -28,4 +28,9 @@
 
     /** Bytes of a body that are held until it is over. */
     int heldBytes();
+
+    /** Whether it can go out now: false once a body that is not held has begun to leave. */
+    default boolean maySend() {
+        return true;
+    }
 }
