Files say which HTTP requests are of which class and go where

Need: HTTP requests have methods and paths; a POST must never fall to a class that is sent again.

Change: [http], [[http-pools]] and [[http-routes]] in the one description of keys, with checks: POST, PATCH and unknown methods to unsafe classes alone, PUT and DELETE to keyed or unsafe ones, reads to classes for reads, one route for a path and method, tenants, deadlines, memory with the cache in it. listen may be left out where http.listen is there.

--- a/src/main/java/eiderscale/config/AppFile.java
+++ b/src/main/java/eiderscale/config/AppFile.java
@@ -68,6 +68,16 @@
         return good().config(seed, previous);
     }
 
+    /** Whether clients of the meta protocol are served. */
+    public boolean servesMeta() {
+        return good().servesMeta();
+    }
+
+    /** What its HTTP part is started or renewed with: one for each pool of hosts; none where it has no such part. */
+    public List<Config> httpConfigs(long seed, List<Site> previous) {
+        return good().httpConfigs(seed, previous);
+    }
+
     /** The file that holds the hosts, as this one names it; null if they are named otherwise. */
     public String hostsFile() {
         return good().source() == Application.Source.FILE ? app.values().table("pool").text("file") : null;
@@ -122,7 +132,7 @@
     /** The sum of what open requests, values and connections may hold, in bytes of the heap. */
     public long heapBytes() {
         Values limits = good().values().table("limits");
-        return Checks.heapBytes(limits);
+        return Checks.heapBytes(limits, app.servesHttp() ? app.values().table("http").whole("cache") : 0);
     }
 
     /** Descriptors that the process may open. */
--- a/src/main/java/eiderscale/config/Application.java
+++ b/src/main/java/eiderscale/config/Application.java
@@ -18,7 +18,7 @@
  */
 record Application(Values values, List<InetSocketAddress> listeners, ClientClass clientClass,
                    Site.HostKind hostKind, Source source, List<Host> hosts, List<ServiceClass> classes,
-                   List<Route> routes) {
+                   List<Route> routes, HttpPart http) {
     /** Where hosts are named. */
     enum Source { STATIC, FILE, DISCOVERY }
 
@@ -71,7 +71,7 @@
         }
         return new Application(root, listeners, word(root.table("clients"), "class", ClientClass.CHECKED),
                 word(pool, "kind", Site.HostKind.META), word(pool, "source", Source.STATIC), hosts(pool), classes,
-                routes);
+                routes, HttpPart.of(root, named));
     }
 
     private static <E extends Enum<E>> E word(Values values, String key, E otherwise) {
@@ -138,17 +138,48 @@
         return values.text("application");
     }
 
-    /** How the descriptors are dealt out; where the file does not say how many are for clients, as usual. */
+    /** Whether it serves clients of the meta protocol. */
+    boolean servesMeta() {
+        return !listeners.isEmpty();
+    }
+
+    /** Whether it serves clients that speak HTTP. */
+    boolean servesHttp() {
+        return !http.listeners().isEmpty();
+    }
+
+    /**
+     * How the descriptors are dealt out; where the file does not say how many are for clients, as usual. Where two
+     * protocols are served, each has half of all.
+     */
     static DescriptorPlan plan(Values root) {
         Values limits = root.table("limits");
-        int all = (int) limits.whole("descriptors");
+        boolean both = !root.list("listen").isEmpty() && !root.table("http").list("listen").isEmpty();
+        int all = (int) limits.whole("descriptors") / (both ? 2 : 1);
         DescriptorPlan usual = DescriptorPlan.of(all);
-        int clients = limits.has("clients") ? (int) limits.whole("clients") : usual.clients();
+        int clients = limits.has("clients") ? (int) limits.whole("clients") / (both ? 2 : 1) : usual.clients();
         boolean ease = root.table("clients").flag("ease");
         return DescriptorPlan.of(all, clients, !ease ? Integer.MAX_VALUE
                 : limits.has("clients") ? clients * 3 / 4 : usual.easy());
     }
 
+    /** What the HTTP part of the balancer is started with: one of these for each pool, none where it is not there. */
+    List<Config> httpConfigs(long seed, List<Site> previous) {
+        List<Config> configs = new ArrayList<>();
+        for (int i = 0; servesHttp() && i < http.pools().size(); i++) {
+            HttpPart.Pool pool = http.pools().get(i);
+            Site.Builder made = builder(Site.HostKind.HTTP);
+            made.connectTimeout = pool.connectTimeout();
+            made.idleTime = pool.idle();
+            made.http = http.rules(classes);
+            made.stallTime = made.http.limits().stall();
+            Site site = i < previous.size() ? made.keepNames(previous.get(i)).build() : made.build();
+            configs.add(new Config(name(), http.listeners(), null, seed + i, plan(values), clientLimits(),
+                    values.table("limits").whole("values"), site, new Catalog(0, true, members(pool.hosts(), site))));
+        }
+        return configs;
+    }
+
     /** What the balancer is started with. {@code previous}: the site in service, whose names keep their numbers. */
     Config config(long seed, Site previous) {
         Site site = site(previous);
@@ -173,18 +204,23 @@
     }
 
     private Site site(Site previous) {
-        Site.Builder site = new Site.Builder(settings());
+        Site.Builder site = builder(hostKind);
+        return previous == null ? site.build() : site.keepNames(previous).build();
+    }
+
+    private Site.Builder builder(Site.HostKind kind) {
+        Site.Builder site = new Site.Builder(settings(kind));
         site.connectTimeout = values.table("pool").whole("connect-timeout");
         site.idleTime = values.table("pool").whole("idle");
         site.maxOpen = (int) values.table("limits").whole("open-requests");
-        site.hostKind = hostKind;
+        site.hostKind = kind;
         site.routes = routeTable();
         site.classes = numbers(classes.stream().map(ServiceClass::name).toList());
         site.tenants = numbers(values.tables("tenants").stream().map(t -> t.text("name")).toList());
         site.defaultTenant = values.table("clients").text("tenant");
         site.zones = numbers(zones());
         site.fields = numbers(values.table("pool").list("load-report").stream().map(REPORT_FIELDS::get).toList());
-        return previous == null ? site.build() : site.keepNames(previous).build();
+        return site;
     }
 
     private List<String> zones() {
@@ -203,7 +239,7 @@
         return numbers;
     }
 
-    private Api.Settings settings() {
+    private Api.Settings settings(Site.HostKind kind) {
         Values fleet = values.table("fleet");
         Values cold = values.table("cold");
         Values retry = values.table("retry");
@@ -223,7 +259,7 @@
                 cold.real("multiple") / MARGIN, cold.whole("falls-after"), 1, KEY_QUIET,
                 new Api.Budget(retry.real("free"), retry.real("share"), retry.whole("span")),
                 new Api.ReportLayout(fields.indexOf("rif"), fields.indexOf("q"), fields.indexOf("busy")),
-                hedge.real("quantile"), hostKind == Site.HostKind.MEMCACHED ? 1 : Api.Settings.CANDIDATES);
+                hedge.real("quantile"), kind == Site.HostKind.MEMCACHED ? 1 : Api.Settings.CANDIDATES);
     }
 
     private static Api.RequestClass requestClass(ServiceClass c) {
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -8,6 +8,7 @@
 import eiderscale.config.Application.Source;
 import eiderscale.config.Routes.Operation;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,6 +53,7 @@
         checks.routes();
         checks.hedging();
         checks.resending();
+        new HttpChecks(app, report).run();
     }
 
     /** The rule itself; where a check above has told of the keys that a violation comes from, it is not told twice. */
@@ -69,21 +71,27 @@
     private void listeners() {
         boolean anywhere = app.values().flag("allow-non-loopback");
         boolean needed = false;
-        for (int i = 0; i < app.listeners().size(); i++) {
-            InetSocketAddress address = app.listeners().get(i);
-            String key = "listen[" + i + "]";
+        if (!app.servesMeta() && !app.servesHttp()) {
+            report.error("listen", "is missing", "an address here or in http.listen", "http.listen");
+        }
+        List<InetSocketAddress> all = new ArrayList<>(app.listeners());
+        all.addAll(app.http().listeners());
+        for (int i = 0; i < all.size(); i++) {
+            InetSocketAddress address = all.get(i);
+            int meta = app.listeners().size();
+            String key = i < meta ? "listen[" + i + "]" : "http.listen[" + (i - meta) + "]";
             needed |= !address.getAddress().isLoopbackAddress();
             if (!anywhere && !address.getAddress().isLoopbackAddress()) {
                 report.error(key, Type.address(address) + " is not loopback", "an address of 127.0.0.0/8 or [::1], "
                         + "or allow-non-loopback = true", "allow-non-loopback", "listen");
             }
             for (int j = 0; j < i && address.getPort() != 0; j++) {
-                InetSocketAddress other = app.listeners().get(j);
+                InetSocketAddress other = all.get(j);
                 boolean same = other.getAddress().equals(address.getAddress())
                         || other.getAddress().isAnyLocalAddress() || address.getAddress().isAnyLocalAddress();
                 if (same && other.getPort() == address.getPort()) {
                     report.error(key, "two listeners on port " + address.getPort(), "one listener on each port",
-                            "listen");
+                            "listen", "http.listen");
                 }
             }
             if (address.getPort() == 0) {
@@ -91,6 +99,8 @@
             }
         }
         needed |= app.hosts().stream().anyMatch(host -> !host.address().getAddress().isLoopbackAddress())
+                || app.http().pools().stream().flatMap(pool -> pool.hosts().stream())
+                        .anyMatch(host -> !host.address().getAddress().isLoopbackAddress())
                 || app.source() != Source.STATIC;
         if (anywhere && !needed) {
             report.warn("allow-non-loopback", "nothing here needs it", "listen", "pool.hosts");
@@ -100,7 +110,7 @@
     private void limits() {
         Values limits = app.values().table("limits");
         long fixed = FIXED_BYTES + limits.whole("descriptors") * DESCRIPTOR_BYTES;
-        long left = limits.whole("memory") - fixed - limits.whole("values") * VALUE_COPIES;
+        long left = limits.whole("memory") - fixed - limits.whole("values") * VALUE_COPIES - cacheBytes();
         if (left < limits.whole("open-requests") * REQUEST_BYTES) {
             long need = limits.whole("memory") - left + limits.whole("open-requests") * REQUEST_BYTES;
             String key = limits.states("memory") ? "limits.memory" : limits.states("values") ? "limits.values"
@@ -133,16 +143,21 @@
         }
     }
 
+    private long cacheBytes() {
+        return app.servesHttp() ? app.values().table("http").whole("cache") : 0;
+    }
+
     /** What is held on the heap at most: what open requests, their values and the connections take. */
-    static long heapBytes(Values limits) {
-        return limits.whole("open-requests") * REQUEST_BYTES + limits.whole("values") * VALUE_COPIES
+    static long heapBytes(Values limits, long cache) {
+        return cache + limits.whole("open-requests") * REQUEST_BYTES + limits.whole("values") * VALUE_COPIES
                 + limits.whole("descriptors") * DESCRIPTOR_BYTES / 2 + HEAP_BYTES;
     }
 
     private void pool(Predicate<String> exists) {
         Values pool = app.values().table("pool");
         Source source = app.source();
-        demand(pool, "hosts", source == Source.STATIC, "static");
+        boolean meta = app.servesMeta() || !app.servesHttp();
+        demand(pool, "hosts", source == Source.STATIC && meta, "static");
         demand(pool, "file", source == Source.FILE, "file");
         demand(pool, "discovery", source == Source.DISCOVERY, "discovery");
         if (source == Source.FILE && pool.has("file") && !exists.test(pool.text("file"))) {
@@ -173,7 +188,8 @@
         if (needed && !pool.has(key)) {
             report.error("pool." + key, "is missing", "with source = \"" + source + "\" it is needed", "pool.source");
         } else if (!needed && pool.states(key)) {
-            report.error("pool." + key, "says nothing here", "only with source = \"" + source + "\"", "pool.source");
+            report.error("pool." + key, "says nothing here", "only with source = \"" + source + "\" and a listener for it",
+                    "pool.source", "listen");
         }
     }
 
@@ -213,7 +229,7 @@
                 }
             }
         }
-        if (app.source() == Source.STATIC && app.hosts().size() == 1) {
+        if (app.servesMeta() && app.source() == Source.STATIC && app.hosts().size() == 1) {
             report.warn("pool.hosts", "with one host there is none to go to when it fails");
         }
     }
--- a/src/main/java/eiderscale/config/Diff.java
+++ b/src/main/java/eiderscale/config/Diff.java
@@ -40,6 +40,9 @@
 
     /** What tells an item from its neighbours: its name, or of a route what it matches. */
     private static String name(Values table) {
+        if (table.section.key("path") != null) {
+            return Type.quoted(table.text("path")) + "/" + table.list("methods");
+        }
         return table.section.key("name") != null ? table.text("name")
                 : Type.quoted(table.text("prefix")) + "/" + table.text("operation");
     }
@@ -58,7 +61,7 @@
             boolean whole = item != null && (!oldItems.contains(item) || !freshItems.contains(item));
             if (whole && told.add(item)) {
                 changes.add(new Change(item, old == null ? null : summary(item, before),
-                        old == null ? summary(item, after) : null, false));
+                        old == null ? summary(item, after) : null, isPool(item)));
             } else if (!whole && (old == null || !old.equals(fresh))) {
                 changes.add(new Change(key, old, fresh, needsRestart(key)));
             }
@@ -73,6 +76,11 @@
         return listed ? key.substring(0, key.lastIndexOf('.')) : null;
     }
 
+    /** Each pool is served by a part of its own, which is there from the start. */
+    private static boolean isPool(String item) {
+        return item.startsWith("http-pools.") && !item.contains(".hosts.");
+    }
+
     private static Set<String> items(Set<String> keys) {
         Set<String> items = new LinkedHashSet<>();
         keys.forEach(key -> items.add(item(key)));
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -40,7 +40,8 @@
 
     static final Section ROOT = new Section("", false, "One application's balancer.", List.of(
             Key.of("application", Type.NAME, "The application that this balancer serves.").needed().atRestart(),
-            Key.of("listen", Type.ADDRESSES, "Where its clients connect. Port 0 takes any free one.").needed()
+            Key.of("listen", Type.ADDRESSES, "Where its clients of the meta protocol connect. Port 0 takes "
+                    + "any free one. Needed unless http.listen is there.")
                     .within(1, MOST_LISTENERS).atRestart(),
             Key.of("allow-non-loopback", Type.FLAG, "Whether listeners and hosts may be other than loopback.")
                     .or(false).atRestart()),
@@ -182,7 +183,50 @@
                                     .from("any", "read", "write"),
                             Key.of("class", Type.NAME, "The name of their class.").needed(),
                             Key.of("effect", Type.CHOICE, "What the application knows of them; the class must "
-                                    + "have the same.").from("safe", "keyed", "unsafe"))));
+                                    + "have the same.").from("safe", "keyed", "unsafe")),
+                    section("http", false, "Clients that speak HTTP/1.1, and what is cached for them.",
+                            Key.of("listen", Type.ADDRESSES, "Where they connect. Left out: nowhere.")
+                                    .within(1, MOST_LISTENERS).atRestart(),
+                            Key.of("name", Type.NAME, "What this balancer is called in Via and Cache-Status.")
+                                    .or("stairshelf").atRestart(),
+                            Key.of("cache", Type.SIZE, "Memory for stored responses; with 0B nothing is stored.")
+                                    .or(16 * MB).within(0, 64 * GB).atRestart(),
+                            Key.of("largest-object", Type.SIZE, "The longest response that is stored; never more "
+                                    + "than a sixteenth of the cache.").or(MB).within(KB, GB).atRestart(),
+                            Key.of("hold", Type.SIZE, "Bodies of requests up to this are held, so that they may be "
+                                    + "sent again; longer ones stream to one host.").or(64 * KB).within(0, MB),
+                            Key.of("largest-body", Type.SIZE, "The longest body of a request.").or(16 * MB)
+                                    .within(KB, 64 * GB),
+                            Key.of("stall", Type.DURATION, "Something of a body must come, or be taken, within "
+                                    + "this.").or(10 * SECOND).within(100 * MS, 10 * MINUTE),
+                            Key.of("collapse", Type.FLAG, "Whether one fetch goes out for several requests that "
+                                    + "want the same.").or(true),
+                            Key.of("purge", Type.FLAG, "Whether clients on loopback may take stored responses out "
+                                    + "by the method PURGE.").or(false),
+                            Key.of("turned-away", Type.NAMES, "Statuses by which the hosts say that a request never "
+                                    + "ran, so that another one may be asked.").or(List.of()).within(0, 3)
+                                    .from("425", "429", "503").atRestart()),
+                    section("http-pools", true, "Hosts that speak HTTP/1.1.",
+                            Key.of("name", Type.NAME, "As routes name it.").needed(),
+                            Key.of("hosts", Type.HOSTS, "The hosts.").needed().within(1, MOST_HOSTS),
+                            Key.of("connect-timeout", Type.DURATION, "How long a connection may take to come up.")
+                                    .or(250 * MS).within(MS, 30 * SECOND),
+                            Key.of("idle", Type.DURATION, "After how long hosts close an idle connection; ours "
+                                    + "go sooner.").or(30 * SECOND).within(100 * MS, HOUR)),
+                    section("http-routes", true, "Which HTTP requests are of which class and go where. Of those that "
+                                    + "match, the one with the longest path counts.",
+                            Key.of("path", Type.PREFIX, "The beginning of their paths.").or("/"),
+                            Key.of("methods", Type.NAMES, "Their methods. POST, PATCH and methods that are not known "
+                                    + "here go to unsafe classes only, PUT and DELETE to keyed or unsafe ones.").needed()
+                                    .within(1, 20),
+                            Key.of("class", Type.NAME, "The name of their class.").needed(),
+                            Key.of("pool", Type.NAME, "The hosts that serve them. Left out: the first pool."),
+                            Key.of("tenant", Type.NAME, "Who they are for."),
+                            Key.of("tenant-field", Type.NAME, "The field that names who they are for."),
+                            Key.of("key", Type.CHOICE, "What decides which host is first: the path with its query, or "
+                                    + "the path alone.").or("target").from("target", "path"),
+                            Key.of("deadline", Type.DURATION, "When their clients give up. Left out: as the class "
+                                    + "says.").within(10 * MS, 10 * MINUTE))));
 
     private Spec() {
     }
--- a/src/main/java/eiderscale/config/Writer.java
+++ b/src/main/java/eiderscale/config/Writer.java
@@ -78,7 +78,7 @@
                     example(section, text);
                     routes(classes, text);
                 }
-                case "tenants" -> example(section, text);
+                case "tenants", "http-pools", "http-routes" -> example(section, text);
                 default -> {
                     text.append('[').append(section.name()).append("]\n");
                     keys(section, section.name() + ".", answers, text);
