HTTP/1.1 with caching as RFC 9111 says, on the same core

Need: branch terminals fetch statements over HTTP; they are to be served under the same rules as the meta protocol.

Change: clients' connections behind the strict decoder, one handler each; bodies that stream both ways, held up to 64 KB; hosts' side on Netty's decoder; the cache's plans carried out, one fetch for many readers, stale while validated, PURGE; refusals and failures as 503, 502 and 504 with Retry-Harmless; the sidecar's listener; a scripted HTTP stand-in.

--- a/src/main/java/eiderscale/cli/SidecarCommand.java
+++ b/src/main/java/eiderscale/cli/SidecarCommand.java
@@ -33,6 +33,9 @@
         for (InetSocketAddress address : sidecar.addresses()) {
             Counters.log("serves on " + address.getAddress().getHostAddress() + ":" + address.getPort());
         }
+        for (InetSocketAddress address : sidecar.httpAddresses()) {
+            Counters.log("serves HTTP on " + address.getAddress().getHostAddress() + ":" + address.getPort());
+        }
         new CountDownLatch(1).await();
         return Stairshelf.GOOD;
     }
--- /dev/null
+++ b/src/main/java/eiderscale/http/HttpCall.java
@@ -0,0 +1,98 @@
+package eiderscale.http;
+
+import eiderscale.config.Catalog;
+import eiderscale.config.HttpRules;
+import eiderscale.http.cache.CacheKey;
+import eiderscale.http.cache.Fields;
+import eiderscale.net.Request;
+
+/**
+ * A request on its way to a host. {@code body}: held, so that it may go out again; null where there is none or it streams
+ * by {@code upload}. Its fields are those that are sent, without what frames the body.
+ */
+final class HttpCall implements Request {
+    private static final byte[] NONE = {};
+
+    final String method;
+    final CacheKey target;
+    final Fields fields;
+    final byte[] body;
+    final Upload upload;
+    private final String id;
+    private final HttpRules.Route route;
+    private final int tenant;
+    private final long waitMs;
+    private final boolean repeat;
+
+    HttpCall(String id, HttpRules.Route route, int tenant, long waitMs, String method, CacheKey target, Fields fields,
+             byte[] body, Upload upload) {
+        this.id = id;
+        this.route = route;
+        this.tenant = tenant;
+        this.waitMs = waitMs;
+        this.method = method;
+        this.target = target;
+        this.fields = fields;
+        this.body = body == null ? NONE : body;
+        this.upload = upload;
+        this.repeat = false;
+    }
+
+    /** Whether something goes out behind the head. */
+    boolean hasBody() {
+        return upload != null || body.length > 0;
+    }
+
+    @Override
+    public String id() {
+        return id;
+    }
+
+    @Override
+    public int requestClass() {
+        return route.requestClass();
+    }
+
+    @Override
+    public int tenant() {
+        return tenant;
+    }
+
+    @Override
+    public long key() {
+        String path = target.path();
+        int query = path.indexOf('?');
+        String part = route.key() == HttpRules.KeyOf.PATH && query >= 0 ? path.substring(0, query) : path;
+        return Catalog.hash(target.authority() + part);
+    }
+
+    @Override
+    public long waitMs() {
+        return waitMs;
+    }
+
+    @Override
+    public long work() {
+        return 0;
+    }
+
+    @Override
+    public boolean repeat() {
+        return repeat;
+    }
+
+    @Override
+    public boolean write() {
+        return route.write();
+    }
+
+    @Override
+    public int heldBytes() {
+        return body.length;
+    }
+
+    @Override
+    public boolean maySend() {
+        return upload == null || !upload.isTaken();
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -0,0 +1,286 @@
+package eiderscale.http;
+
+import eiderscale.config.HttpRules;
+import eiderscale.net.ClientConnection;
+import eiderscale.net.ClientServer;
+import eiderscale.net.Clock;
+import eiderscale.net.Core;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * One client that speaks HTTP/1.1. Its requests are served one after the other, so that answers come in their order
+ * (RFC 9112 section 9.3.2); what it sends ahead waits. An idle one holds no buffer and no decoder: it is the one handler
+ * in its pipeline.
+ */
+final class HttpConnection extends ClientConnection {
+    /** What a client may send ahead of its answers, in bytes; its leaving is seen while there is room for more. */
+    private static final int MOST_AHEAD = 64 * 1024;
+
+    private final HttpFront front;
+    /** What has come and is not read yet; null if there is nothing. */
+    private ByteBuf held;
+    /** Null between two requests. */
+    private StrictRequestDecoder decoder;
+    /** The request that is being read or answered. */
+    private Turn turn;
+    /** Its body is not all here. */
+    private boolean inBody;
+    private boolean parsing;
+    private boolean flushing;
+
+    HttpConnection(HttpFront front, ClientServer server, SocketChannel channel) {
+        super(server, channel);
+        this.front = front;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        if (isGone() || isQuitting()) {
+            bytes.release();
+            return;
+        }
+        held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
+        takeIn();
+        if (!isGone() && !hasRoom()) {
+            channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    protected int open() {
+        return turn == null ? 0 : 1;
+    }
+
+    @Override
+    protected boolean isClean() {
+        return held == null && decoder == null;
+    }
+
+    @Override
+    protected boolean hasRoom() {
+        return turn == null || held == null || held.readableBytes() < MOST_AHEAD;
+    }
+
+    @Override
+    protected void takeIn() {
+        if (turn != null) {
+            turn.flow(channel().isWritable());
+        }
+        if (parsing || held == null && decoder == null) {
+            return;
+        }
+        parsing = true;
+        try {
+            boolean more = true;
+            while (more && mayParse()) {
+                more = readOne();
+            }
+        } catch (Exception e) {
+            throw new IllegalStateException("reading a request", e);
+        } finally {
+            parsing = false;
+        }
+        if (isGone() || isQuitting()) {
+            drop();
+        } else if (held != null && !held.isReadable()) {
+            held.release();
+            held = null;
+        }
+        if (decoder != null && decoder.isBetween()) {
+            decoder = null;
+        }
+    }
+
+    /** A further request waits for the answer to the one before; its body waits until its host takes more. */
+    private boolean mayParse() {
+        return !isGone() && !isQuitting() && (turn == null || inBody && turn.wantsBody());
+    }
+
+    private boolean readOne() throws Exception {
+        if (decoder == null) {
+            if (held == null || !held.isReadable()) {
+                return false;
+            }
+            decoder = new StrictRequestDecoder();
+        }
+        Object part = decoder.next(held == null ? Unpooled.EMPTY_BUFFER : held);
+        if (part == null) {
+            return false;
+        }
+        try {
+            take(part);
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+        return true;
+    }
+
+    private void take(Object part) throws Exception {
+        if (part instanceof BadRequest bad) {
+            fault(bad);
+        } else if (part instanceof HttpRequest request) {
+            begin(request);
+        } else if (part instanceof HttpContent content && inBody) {
+            inBody = !(part instanceof LastHttpContent);
+            turn.body(content.content(), !inBody);
+        }
+    }
+
+    /** What cannot be read as one request and no other: answered, and nothing behind it is read. */
+    private void fault(BadRequest bad) {
+        faulty();
+        if (turn == null) {
+            busy();
+            turn = new Turn(this, front);
+        }
+        inBody = false;
+        turn.spoilt(bad);
+    }
+
+    private void begin(HttpRequest request) throws Exception {
+        busy();
+        Turn fresh = new Turn(this, front);
+        turn = fresh;
+        try {
+            RequestHead head = RequestHead.of(request);
+            inBody = head.length() != 0;
+            if (!inBody) {
+                // The decoder has the empty end of it ready: none of it is left when the next request is looked for.
+                ReferenceCountUtil.release(decoder.next(Unpooled.EMPTY_BUFFER));
+            }
+            fresh.begin(head);
+            if (!inBody && turn == fresh) {
+                fresh.body(Unpooled.EMPTY_BUFFER, true);
+            }
+        } catch (BadRequest e) {
+            faulty();
+            inBody = false;
+            fresh.spoilt(e);
+        }
+    }
+
+    @Override
+    protected void drop() {
+        if (held != null) {
+            held.release();
+            held = null;
+        }
+        if (decoder != null) {
+            decoder.drop();
+            decoder = null;
+        }
+    }
+
+    @Override
+    protected void abandon() {
+        Turn left = turn;
+        turn = null;
+        if (left != null) {
+            left.gone();
+        }
+    }
+
+    // What its request asks and tells.
+
+    /** The answer is written to its end. {@code close}: nothing may follow it. */
+    void done(Turn ended, boolean close) {
+        if (turn != ended || isGone()) {
+            return;
+        }
+        turn = null;
+        if (close || inBody) {
+            quit();
+            drop();
+        }
+        adjust();
+    }
+
+    /** What was written goes out at the end of this turn of the loop. */
+    void write(ByteBuf bytes) {
+        int size = bytes.readableBytes();
+        unread(size);
+        channel().write(bytes).addListener(done -> unread(-size));
+        if (!flushing) {
+            flushing = true;
+            later(this::flush);
+        }
+    }
+
+    private void flush() {
+        flushing = false;
+        channel().flush();
+    }
+
+    /** An answer that cannot be ended as it should: the client must be able to tell. */
+    void breakOff(boolean reset) {
+        channel().flush();
+        if (reset) {
+            channel().config().setSoLinger(0);
+        }
+        channel().close();
+    }
+
+    /** Reads on, or not, as the request allows. */
+    void look() {
+        if (!isGone() && !parsing) {
+            adjust();
+        }
+    }
+
+    void after(Runnable task, long ms) {
+        later(task, ms);
+    }
+
+    boolean hasLeft() {
+        return isGone();
+    }
+
+    boolean isOver() {
+        return isQuitting();
+    }
+
+    boolean surplus() {
+        return isSurplus();
+    }
+
+    boolean asks(int tenant) {
+        return mayAskFor(tenant);
+    }
+
+    void good() {
+        spoke();
+    }
+
+    void bad() {
+        faulty();
+    }
+
+    void noPlace() {
+        refusedHere();
+    }
+
+    Core pool(int number) {
+        return core(number);
+    }
+
+    HttpRules rules() {
+        return core(0).site().http;
+    }
+
+    SocketChannel socket() {
+        return channel();
+    }
+
+    long retryMs() {
+        return core(0).retryAfterMs(Clock.SECOND);
+    }
+}
--- /dev/null
+++ b/src/main/java/eiderscale/http/HttpFront.java
@@ -0,0 +1,82 @@
+package eiderscale.http;
+
+import eiderscale.config.HttpRules;
+import eiderscale.http.cache.Fields;
+import eiderscale.http.cache.HttpCache;
+import eiderscale.http.cache.HttpDate;
+import eiderscale.net.Budget;
+import eiderscale.net.ClientConnection;
+import eiderscale.net.ClientServer;
+import eiderscale.net.Clock;
+import eiderscale.net.Counters;
+import eiderscale.net.Front;
+import io.netty.channel.socket.SocketChannel;
+
+/** Clients that speak HTTP/1.1: what their connections share. For one event loop. */
+final class HttpFront implements Front {
+    private final Budget budget;
+    private final String name;
+    /** Null where nothing is cached. */
+    private final Store store;
+    private final HttpCache cache;
+    private final Fetches fetches = new Fetches(this);
+    private long dateSecond;
+    private String date = "";
+
+    HttpFront(HttpRules.Limits limits, Budget budget) {
+        this.budget = budget;
+        this.name = limits.name();
+        this.store = limits.cache() == 0 ? null : new Store(limits.cache(), limits.largestObject(), Counters::log);
+        this.cache = store == null ? null : new HttpCache(store);
+    }
+
+    @Override
+    public ClientConnection open(ClientServer server, SocketChannel channel) {
+        return new HttpConnection(this, server, channel);
+    }
+
+    /** Bytes of bodies that are held while they come, or go on. */
+    Budget budget() {
+        return budget;
+    }
+
+    /** Null where nothing is cached. */
+    HttpCache cache() {
+        return cache;
+    }
+
+    /** Null where nothing is cached. */
+    Store store() {
+        return store;
+    }
+
+    Fetches fetches() {
+        return fetches;
+    }
+
+    /** What it is called in fields. */
+    String name() {
+        return name;
+    }
+
+    /** Milliseconds since the epoch, by which ages are counted. */
+    long nowMs() {
+        return Clock.now() / Clock.MILLISECOND;
+    }
+
+    /** The time for {@code Date} (RFC 9110 section 6.6.1). */
+    String date() {
+        long second = nowMs() / 1000;
+        if (second != dateSecond) {
+            dateSecond = second;
+            date = HttpDate.format(second);
+        }
+        return date;
+    }
+
+    /** These, passed on by this intermediary (RFC 9110 section 7.6.3). */
+    Fields via(Fields fields) {
+        String before = fields.joined("via");
+        return fields.updatedBy(Fields.of("via", (before == null ? "" : before + ", ") + "1.1 " + name));
+    }
+}
--- a/src/main/java/eiderscale/http/RequestHead.java
+++ b/src/main/java/eiderscale/http/RequestHead.java
@@ -10,8 +10,10 @@
 /**
  * A request's head, checked (RFC 9112 sections 3 and 6, RFC 9110 section 7). {@code target}: its URI. {@code length}: of
  * the body, 0 for none, {@link #CHUNKED} if it comes in chunks. {@code keepAlive}: whether another request may follow.
+ * {@code isOld}: HTTP/1.0, which knows no chunks.
  */
-record RequestHead(String method, CacheKey target, Fields fields, long length, boolean keepAlive, boolean expectsContinue) {
+record RequestHead(String method, CacheKey target, Fields fields, long length, boolean keepAlive, boolean expectsContinue,
+                   boolean isOld) {
     static final long CHUNKED = -1;
     private static final int MOST_METHOD = 32;
     private static final String SCHEME = "http";
@@ -40,7 +42,7 @@
         if (fields.has("expect") && !old && !expects) {
             throw new BadRequest(417, "unknown expectation");
         }
-        return new RequestHead(method, target, fields, length(fields, old), keepAlive, expects);
+        return new RequestHead(method, target, fields, length(fields, old), keepAlive, expects, old);
     }
 
     private static void checkValue(String value) throws BadRequest {
--- a/src/main/java/eiderscale/http/StrictRequestDecoder.java
+++ b/src/main/java/eiderscale/http/StrictRequestDecoder.java
@@ -6,7 +6,11 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 
 /**
  * Netty's decoder of requests, behind a look at each head as it came. Netty joins folded lines, skips blanks before a
@@ -21,6 +25,8 @@
     static final int MOST_LINE = 8 * 1024;
     private static final int MOST_CHUNK = 16 * 1024;
 
+    private final List<Object> found = new ArrayList<>(2);
+    private final Queue<Object> ready = new ArrayDeque<>(2);
     private boolean atHead = true;
     private boolean broken;
 
@@ -29,6 +35,35 @@
                 .setMaxInitialLineLength(MOST_LINE).setMaxHeaderSize(MOST_HEAD).setMaxChunkSize(MOST_CHUNK));
     }
 
+    /**
+     * What comes next of a request in these bytes: a head, a part of a body or a {@link BadRequest}; null if that is not
+     * all here. For one that stands in no pipeline.
+     */
+    Object next(ByteBuf bytes) throws Exception {
+        while (ready.isEmpty() && bytes.isReadable()) {
+            int before = bytes.readerIndex();
+            decode(null, bytes, found);
+            ready.addAll(found);
+            found.clear();
+            if (ready.isEmpty() && bytes.readerIndex() == before) {
+                return null;
+            }
+        }
+        return ready.poll();
+    }
+
+    /** Whether it stands between two requests, all parts of the last one having been taken. */
+    boolean isBetween() {
+        return atHead && !broken && ready.isEmpty();
+    }
+
+    /** Lets go of what was not taken. */
+    void drop() {
+        for (Object part = ready.poll(); part != null; part = ready.poll()) {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
     /** Whether it stands between two requests, with not a byte of the next one here. */
     boolean isClean() {
         return atHead && !broken && actualReadableBytes() == 0;
--- /dev/null
+++ b/src/main/java/eiderscale/http/Upload.java
@@ -0,0 +1,123 @@
+package eiderscale.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * A request's body that is too long to be held: it goes to one host as it comes from the client, which is not read while
+ * the host takes nothing. It can go out once. For one event loop.
+ */
+final class Upload implements BodySink {
+    /** Of its whole length, or negative if it comes in chunks. */
+    private final long length;
+    private final Runnable onRoom;
+    private final Queue<ByteBuf> waiting = new ArrayDeque<>();
+    private Channel host;
+    private boolean ended;
+    private boolean over;
+
+    /** {@code onRoom}: told when more may come. */
+    Upload(long length, Runnable onRoom) {
+        this.length = length;
+        this.onRoom = onRoom;
+    }
+
+    long length() {
+        return length;
+    }
+
+    /** Whether it has begun to leave. */
+    boolean isTaken() {
+        return host != null || over;
+    }
+
+    /** Whether all of it has left for the host. */
+    boolean isDone() {
+        return over && ended;
+    }
+
+    /** Whether more is wanted from the client now. */
+    boolean wantsMore() {
+        return over || host != null && host.isWritable();
+    }
+
+    /** The head has been written there: the body follows. */
+    void follow(Channel channel) {
+        host = channel;
+        writeOn();
+        onRoom.run();
+    }
+
+    /** The host takes bytes again. */
+    void drained() {
+        if (host != null && host.isWritable()) {
+            onRoom.run();
+        }
+    }
+
+    /** Nobody takes the rest: it is passed over. */
+    void giveUp() {
+        over = true;
+        host = null;
+        drop();
+        onRoom.run();
+    }
+
+    private void drop() {
+        for (ByteBuf bytes = waiting.poll(); bytes != null; bytes = waiting.poll()) {
+            bytes.release();
+        }
+    }
+
+    @Override
+    public void part(ByteBuf bytes) {
+        if (over || !bytes.isReadable()) {
+            bytes.release();
+        } else {
+            waiting.add(bytes);
+            writeOn();
+        }
+    }
+
+    @Override
+    public void end() {
+        ended = true;
+        writeOn();
+    }
+
+    /** The client has ended it before its end: the host must not take it for whole. */
+    @Override
+    public void cut() {
+        if (host != null && !over) {
+            host.close();
+        }
+        giveUp();
+    }
+
+    private void writeOn() {
+        if (host == null) {
+            return;
+        }
+        for (ByteBuf bytes = waiting.poll(); bytes != null; bytes = waiting.poll()) {
+            if (length < 0) {
+                host.write(ByteBufUtil.writeAscii(host.alloc(), Integer.toHexString(bytes.readableBytes()) + "\r\n"));
+                host.write(bytes);
+                host.write(ByteBufUtil.writeAscii(host.alloc(), "\r\n"));
+            } else {
+                host.write(bytes);
+            }
+        }
+        if (ended && !over) {
+            over = true;
+            if (length < 0) {
+                host.write(Unpooled.copiedBuffer("0\r\n\r\n", StandardCharsets.US_ASCII));
+            }
+        }
+        host.flush();
+    }
+}
--- a/src/main/java/eiderscale/http/cache/Freshness.java
+++ b/src/main/java/eiderscale/http/cache/Freshness.java
@@ -93,7 +93,7 @@
     }
 
     /** For how many milliseconds more it is fresh; negative for how long it has been stale. */
-    long left(long now) {
+    public long left(long now) {
         return lifetime * SECOND - ageMs(now);
     }
 }
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -9,6 +9,7 @@
 import eiderscale.config.HostList;
 import eiderscale.config.Problem;
 import eiderscale.config.Site;
+import eiderscale.http.HttpProtocol;
 import eiderscale.meta.MetaProtocol;
 import eiderscale.net.Counters;
 import eiderscale.net.Node;
@@ -16,6 +17,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -39,14 +41,20 @@
     private final Path file;
     private final EventLoop loop;
     private final Consumer<String> log;
+    /** Serves the meta protocol; null where the file has no listener for that. */
     private final Node node;
+    /** Serves HTTP; null where the file has no listener for that. */
+    private final Node http;
     private final List<InetSocketAddress> addresses;
+    private final List<InetSocketAddress> httpAddresses;
     private final ScheduledExecutorService files;
     /** Files thread only, from here on. */
     private AppFile current;
     private final HostsFile hostsFile;
     /** Loop only: the settings in service. */
     private Site site;
+    /** Loop only: those of the HTTP part, one for each pool. */
+    private List<Site> httpSites;
 
     private Sidecar(Path file, AppFile app, EventLoop loop, Consumer<String> log)
             throws InterruptedException, ExecutionException, IOException {
@@ -54,7 +62,7 @@
         this.current = app;
         this.loop = loop;
         this.log = log;
-        HostsFile watched = app.hostsFile() == null ? null
+        HostsFile watched = app.hostsFile() == null || !app.servesMeta() ? null
                 : new HostsFile(file.toAbsolutePath().resolveSibling(app.hostsFile()), log);
         HostList first = watched == null ? null : watched.first(app);
         this.hostsFile = watched;
@@ -62,14 +70,19 @@
         long seed = System.nanoTime() ^ ProcessHandle.current().pid() << 32;
         Config config = app.config(seed, null);
         this.site = config.site();
-        this.node = loop.submit(() -> {
+        List<Config> httpConfigs = app.httpConfigs(seed, List.of());
+        this.httpSites = httpConfigs.stream().map(Config::site).toList();
+        this.node = !app.servesMeta() ? null : loop.submit(() -> {
             Node made = new Node(config, loop, new MetaProtocol(site.hostKind));
             if (first != null) {
                 made.onList(Api.ListMode.FULL, first.members(site));
             }
             return made;
         }).get();
-        this.addresses = listen(config);
+        this.http = httpConfigs.isEmpty() ? null : loop.submit(() -> new Node(httpConfigs, loop,
+                new HttpProtocol(httpSites.get(0).http.limits()))).get();
+        this.addresses = node == null ? List.of() : listen(node, config);
+        this.httpAddresses = http == null ? List.of() : listen(http, httpConfigs.get(0));
         this.files = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "files");
             thread.setDaemon(true);
@@ -125,7 +138,7 @@
         return String.join("\n", lines);
     }
 
-    private List<InetSocketAddress> listen(Config config)
+    private List<InetSocketAddress> listen(Node node, Config config)
             throws InterruptedException, ExecutionException, IOException {
         List<InetSocketAddress> bound = new ArrayList<>();
         for (int i = 0; i < config.listeners().size(); i++) {
@@ -146,6 +159,11 @@
         return addresses;
     }
 
+    /** Where it listens for HTTP, in the order of the file; none if it does not. */
+    public List<InetSocketAddress> httpAddresses() {
+        return httpAddresses;
+    }
+
     /** Reads the file again, as at SIGHUP; a bad one changes nothing. The future is done when it is in service. */
     public java.util.concurrent.Future<?> reload() {
         return files.submit(this::reloadNow);
@@ -187,8 +205,29 @@
 
     /** On the loop. */
     private void take(AppFile fresh, List<Change> changes) {
+        if (http != null) {
+            takeHttp(fresh, changes);
+        }
+        if (node != null) {
+            takeMeta(fresh, changes);
+        }
+    }
+
+    private void takeHttp(AppFile fresh, List<Change> changes) {
+        List<Config> configs = fresh.httpConfigs(0, httpSites);
+        if (!changes.stream().allMatch(change -> change.key().contains(".hosts."))) {
+            httpSites = configs.stream().map(Config::site).toList();
+            http.renew(httpSites);
+        }
+        for (int i = 0; i < configs.size(); i++) {
+            http.onList(i, Api.ListMode.FULL, configs.get(i).known().members());
+        }
+    }
+
+    private void takeMeta(AppFile fresh, List<Change> changes) {
         Config config = fresh.config(0, site);
         boolean lists = changes.stream().allMatch(change -> change.key().startsWith("pool.hosts.")
+                || change.key().startsWith("http")
                 || change.key().equals("pool.discovery"));
         if (!lists) {
             site = config.site();
@@ -221,18 +260,27 @@
 
     /** How many hosts it knows; none while discovery has yet to answer. */
     public int hosts() throws InterruptedException, ExecutionException {
-        return loop.submit(node::hosts).get();
+        return loop.submit(() -> (node == null ? 0 : node.hosts()) + (http == null ? 0 : http.hosts())).get();
     }
 
     /** What has been counted since the start. */
     public Totals totals() throws InterruptedException, ExecutionException {
-        return loop.submit(node::totals).get();
+        return loop.submit((node == null ? http : node)::totals).get();
+    }
+
+    /** The same of its HTTP part. */
+    public Totals httpTotals() throws InterruptedException, ExecutionException {
+        return loop.submit(http::totals).get();
     }
 
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     public Future<Void> stop() throws InterruptedException, ExecutionException {
         files.shutdown();
-        return loop.submit(node::stop).get();
+        Future<Void> first = node == null ? loop.newSucceededFuture(null) : loop.submit(node::stop).get();
+        Future<Void> second = http == null ? loop.newSucceededFuture(null) : loop.submit(http::stop).get();
+        Promise<Void> both = loop.newPromise();
+        first.addListener(one -> second.addListener(other -> both.setSuccess(null)));
+        return both;
     }
 
     /** The usual log: standard error. */
--- /dev/null
+++ b/src/main/java/eiderscale/standin/StandInHttpHost.java
@@ -0,0 +1,204 @@
+package eiderscale.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/**
+ * An HTTP host on loopback whose answers are the word of a script, byte by byte if it likes, so that failures can be
+ * caused; it notes what came. A request is noted as soon as its head is here, and answered when all of it is.
+ */
+public final class StandInHttpHost implements AutoCloseable {
+    /** A request as it came. {@code body}: filled by the time that it is answered. */
+    public record Came(String method, String target, Map<String, String> fields, StringBuilder body) {
+        /** The value of a field, or null; {@code name} in lower case. */
+        public String field(String name) {
+            return fields.get(name);
+        }
+    }
+
+    /** What is done with a request: bytes are written after a while, and then the connection is kept, closed or reset. */
+    public record Reply(String bytes, long delayMs, End end, String rest, long restMs) {
+        /** An answer with a body. */
+        public static Reply of(int status, String fields, String body) {
+            return raw("HTTP/1.1 " + status + " X\r\ncontent-length: " + body.length() + "\r\n" + fields + "\r\n" + body);
+        }
+
+        /** These bytes and no others. */
+        public static Reply raw(String bytes) {
+            return new Reply(bytes, 0, End.KEEP, "", 0);
+        }
+
+        /** The same after a while. */
+        public Reply after(long ms) {
+            return new Reply(bytes, ms, end, rest, restMs);
+        }
+
+        /** The same with another end. */
+        public Reply then(End how) {
+            return new Reply(bytes, delayMs, how, rest, restMs);
+        }
+
+        /** The same with more behind it, so many milliseconds later, and the end behind that. */
+        public Reply more(String later, long ms) {
+            return new Reply(bytes, delayMs, end, later, ms);
+        }
+    }
+
+    /** What becomes of a connection behind an answer. */
+    public enum End { KEEP, CLOSE, RESET }
+
+    private final EventLoop loop;
+    private final ChannelGroup connections;
+    private final List<Came> came = new CopyOnWriteArrayList<>();
+    private volatile Function<Came, Reply> script = request -> Reply.of(200, "", "ok");
+    private Channel server;
+    private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    /** Starts on a free port of loopback. */
+    public StandInHttpHost(EventLoop loop) throws InterruptedException {
+        this.loop = loop;
+        this.connections = new DefaultChannelGroup(loop);
+        start();
+    }
+
+    /** Listens, after a stop at the port that it had before. */
+    public void start() throws InterruptedException {
+        server = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel fresh) {
+                        connections.add(fresh);
+                        fresh.pipeline().addLast("codec", new HttpServerCodec()).addLast(new Conversation());
+                    }
+                }).bind(address).sync().channel();
+        address = (InetSocketAddress) server.localAddress();
+    }
+
+    /** Dies as a process does: connections are reset and new ones refused. */
+    public void kill() {
+        server.close().syncUninterruptibly();
+        loop.submit(() -> connections.forEach(StandInHttpHost::reset)).syncUninterruptibly();
+    }
+
+    private static void reset(Channel connection) {
+        connection.config().setOption(ChannelOption.SO_LINGER, 0);
+        connection.close();
+    }
+
+    /** From now on requests are answered so; called on the host's loop. */
+    public void script(Function<Came, Reply> treatment) {
+        script = treatment;
+    }
+
+    /** {@code ADDRESS:PORT}. */
+    public String endpoint() {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    /** All requests that came, in their order. */
+    public List<Came> came() {
+        return List.copyOf(came);
+    }
+
+    /** How many connections are up. */
+    public int connections() {
+        return connections.size();
+    }
+
+    @Override
+    public void close() {
+        if (server.isOpen()) {
+            kill();
+        }
+    }
+
+    private final class Conversation extends ChannelInboundHandlerAdapter {
+        private Came current;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof HttpRequest request) {
+                Map<String, String> fields = new java.util.HashMap<>();
+                request.headers().forEach(field -> fields.merge(field.getKey().toLowerCase(java.util.Locale.ROOT),
+                        field.getValue(), (one, other) -> one + ", " + other));
+                current = new Came(request.method().name(), request.uri(), fields, new StringBuilder());
+                came.add(current);
+            }
+            if (message instanceof HttpContent content && current != null) {
+                current.body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+                if (message instanceof LastHttpContent) {
+                    Came whole = current;
+                    current = null;
+                    answer(ctx, script.apply(whole));
+                }
+            }
+            ReferenceCountUtil.release(message);
+        }
+
+        private void answer(ChannelHandlerContext ctx, Reply reply) {
+            if (reply.delayMs > 0) {
+                loop.schedule(() -> show(ctx, reply), reply.delayMs, TimeUnit.MILLISECONDS);
+            } else {
+                show(ctx, reply);
+            }
+        }
+
+        private void show(ChannelHandlerContext ctx, Reply reply) {
+            ctx.pipeline().context("codec").writeAndFlush(bytes(reply.bytes));
+            if (reply.restMs > 0) {
+                loop.schedule(() -> end(ctx, reply), reply.restMs, TimeUnit.MILLISECONDS);
+            } else {
+                end(ctx, reply);
+            }
+        }
+
+        private void end(ChannelHandlerContext ctx, Reply reply) {
+            ChannelHandlerContext codec = ctx.pipeline().context("codec");
+            if (codec == null) {
+                return;
+            }
+            if (reply.end == End.RESET) {
+                codec.writeAndFlush(bytes(reply.rest));
+                reset(ctx.channel());
+            } else if (reply.end == End.CLOSE) {
+                codec.writeAndFlush(bytes(reply.rest)).addListener(ChannelFutureListener.CLOSE);
+            } else if (!reply.rest.isEmpty()) {
+                codec.writeAndFlush(bytes(reply.rest));
+            }
+        }
+
+        private ByteBuf bytes(String text) {
+            return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/eiderscale/sidecar/HttpServingTest.java
@@ -0,0 +1,364 @@
+package eiderscale.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import eiderscale.net.Totals;
+import eiderscale.sidecar.HttpFleet.Page;
+import eiderscale.sidecar.HttpFleet.Web;
+import eiderscale.standin.StandInHttpHost.End;
+import eiderscale.standin.StandInHttpHost.Reply;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** HTTP/1.1 through a sidecar: framing, order, limits and what is passed on. */
+class HttpServingTest {
+    @TempDir
+    Path folder;
+
+    @Test
+    void requestsOfAllRoutesAreServed() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.of(200, "X-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 2\r\n",
+                    request.method() + " " + request.target() + " " + request.body()));
+            Page got = client.get("/statements/1?year=2025", "Connection", "X-Mine", "X-Mine", "no", "X-Kept", "yes");
+            assertEquals("GET /statements/1?year=2025 ", got.body());
+            assertEquals(200, got.status());
+            assertEquals("1", got.field("x-own"));
+            assertNull(got.field("x-hop"));
+            assertEquals("1.1 stairshelf", got.field("via"));
+            assertNotNull(got.field("date"));
+            assertEquals("stairshelf; fwd=uri-miss; stored", got.field("cache-status"));
+            Page posted = client.post("POST", "/copies", "pages=3");
+            assertEquals("POST /copies pages=3", posted.body());
+            Page put = client.post("PUT", "/nominee/7", "name", "Idempotency-Key", "k1");
+            assertEquals("PUT /nominee/7 name", put.body());
+            assertEquals(400, client.post("PUT", "/nominee/7", "name").status());
+            assertTrue(client.ends(), "its body is not looked for");
+            List<Came> came = Came.of(fleet);
+            assertEquals(3, came.size());
+            assertNull(came.get(0).field("x-mine"));
+            assertEquals("yes", came.get(0).field("x-kept"));
+            assertEquals("portal", came.get(0).field("host"));
+            assertEquals("1.1 stairshelf", came.get(0).field("via"));
+            assertEquals("k1", came.get(2).field("idempotency-key"));
+        }
+    }
+
+    /** All requests that came to either host, for tests that send one at a time. */
+    private record Came(java.util.Map<String, String> fields) {
+        static List<Came> of(HttpFleet fleet) {
+            List<Came> all = new ArrayList<>();
+            for (String method : List.of("GET", "POST", "PUT")) {
+                fleet.first.came().stream().filter(one -> one.method().equals(method)).forEach(one -> all.add(new Came(one.fields())));
+                fleet.second.came().stream().filter(one -> one.method().equals(method)).forEach(one -> all.add(new Came(one.fields())));
+            }
+            return all;
+        }
+
+        String field(String name) {
+            return fields.get(name);
+        }
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.of(200, "", request.target()).after(request.target().equals("/0") ? 200 : 0));
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 50; i++) {
+                all.append(Web.head("GET", "/" + i));
+            }
+            client.send(all.toString());
+            for (int i = 0; i < 50; i++) {
+                assertEquals("/" + i, client.page("GET").body());
+            }
+            assertEquals(50, fleet.sidecar.httpTotals().served());
+        }
+    }
+
+    @Test
+    void whatIsNotRoutedIsSaidSo() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("path = \"/\"", "path = \"/a/\""));
+            try (Web client = fleet.client()) {
+                assertEquals(404, client.get("/other").status());
+                Page not = client.ask("DELETE", "/a/x");
+                assertEquals(405, not.status());
+                assertEquals("GET, HEAD, OPTIONS, PATCH, POST", not.field("allow"));
+                assertEquals(400, client.get("/a/../nominee/7").status());
+                assertTrue(client.ends());
+            }
+            try (Web client = fleet.client()) {
+                assertEquals(400, client.get("/a/%2e%2E/nominee/7").status());
+            }
+            try (Web client = fleet.client()) {
+                assertEquals(400, client.send("GET /a/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n").page("GET").status());
+                assertTrue(client.ends());
+            }
+            assertEquals(0, fleet.came());
+        }
+    }
+
+    @Test
+    void chunksAreTakenAndGiven() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "3\r\nabc\r\n").more("2;x=y\r\nde\r\n0\r\nX-Trailer: t\r\n\r\n", 30));
+            for (int i = 0; i < 3; i++) {
+                Page page = client.send(Web.head("POST", "/copies", "Transfer-Encoding", "chunked")
+                        + "4\r\npage\r\n1\r\ns\r\n0\r\nX-T: 1\r\n\r\n").page("POST");
+                assertEquals("abcde", page.body());
+                assertFalse(page.cut());
+            }
+            fleet.first.came().forEach(one -> assertEquals("pages", one.body().toString()));
+            fleet.second.came().forEach(one -> assertEquals("pages", one.body().toString()));
+            assertEquals(3, fleet.came());
+            assertTrue(fleet.first.connections() + fleet.second.connections() <= 2, "they are used again");
+        }
+    }
+
+    @Test
+    void oldClientsGetNoChunksAndAClose() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+            Page page = client.send("GET /x HTTP/1.0\r\n\r\n").page("GET");
+            assertEquals("abc", page.body());
+            assertEquals("close", page.field("connection"));
+            assertFalse(page.cut());
+        }
+    }
+
+    @Test
+    void headHasNoBody() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> request.method().equals("HEAD") ? Reply.raw("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n")
+                    : Reply.of(204, "", ""));
+            assertEquals("5000", client.ask("HEAD", "/x").field("content-length"));
+            assertEquals(204, client.get("/y").status());
+            assertEquals("5000", client.ask("HEAD", "/z").field("content-length"));
+        }
+    }
+
+    @Test
+    void aClientMayWaitForTheWordToGoOn() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.of(200, "", request.body().toString()));
+            client.send(Web.head("POST", "/copies", "Content-Length", "5", "Expect", "100-continue"));
+            assertEquals(100, client.page("POST").status());
+            assertEquals("hello", client.send("hello").page("POST").body());
+            client.send(Web.head("POST", "/copies", "Content-Length", "99999999", "Expect", "100-continue"));
+            assertEquals(413, client.page("POST").status());
+            assertTrue(client.ends());
+        }
+    }
+
+    /** Longer than is held: it goes on as it comes, both ways, and a host that takes nothing holds its client back. */
+    @Test
+    void longBodiesStream() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.of(200, "", request.body().toString()));
+            StringBuilder big = new StringBuilder();
+            while (big.length() < 3_000_000) {
+                big.append("line ").append(big.length()).append('\n');
+            }
+            String body = big.toString();
+            Thread sender = new Thread(() -> {
+                try {
+                    client.send(Web.head("POST", "/copies", "Content-Length", String.valueOf(body.length())) + body);
+                } catch (java.io.IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            sender.start();
+            Page page = client.page("POST");
+            sender.join();
+            assertEquals(body.length(), page.body().length());
+            assertEquals(body, page.body());
+            Thread again = new Thread(() -> {
+                try {
+                    client.send(Web.head("POST", "/copies", "Transfer-Encoding", "chunked"));
+                    for (int at = 0; at < body.length(); at += 50_000) {
+                        String part = body.substring(at, Math.min(body.length(), at + 50_000));
+                        client.send(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+                    }
+                    client.send("0\r\n\r\n");
+                } catch (java.io.IOException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            again.start();
+            assertEquals(body, client.page("POST").body());
+            again.join();
+        }
+    }
+
+    @Test
+    void aBodyThatIsTooLongIsRefused() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("purge = true", "largest-body = \"100KB\""));
+            try (Web client = fleet.client()) {
+                assertEquals(413, client.send(Web.head("POST", "/copies", "Content-Length", "200000")).page("POST").status());
+                assertTrue(client.ends());
+            }
+            assertEquals(0, fleet.came());
+        }
+    }
+
+    @Test
+    void aBodyThatDoesNotComeIsNotWaitedFor() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("purge = true", "stall = \"200ms\""));
+            try (Web client = fleet.client()) {
+                assertEquals(408, client.send(Web.head("POST", "/copies", "Content-Length", "10") + "abc").page("POST").status());
+                assertTrue(client.ends());
+            }
+            try (Web client = fleet.client()) {
+                // Longer than is held: the host has had some of it, and must not take it for whole.
+                client.send(Web.head("POST", "/copies", "Content-Length", "200000") + "x".repeat(90_000));
+                assertEquals(408, client.page("POST").status());
+                assertTrue(client.ends());
+            }
+            fleet.first.came().forEach(one -> assertTrue(one.body().length() < 200_000));
+        }
+    }
+
+    @Test
+    void aCopyWhoseConnectionBreaksIsNeverSentAgain() throws Exception {
+        for (End end : new End[] {End.RESET, End.CLOSE}) {
+            try (HttpFleet fleet = new HttpFleet(folder).start()) {
+                try (Web warm = fleet.client()) {
+                    for (int i = 0; i < 8; i++) {
+                        assertEquals(200, warm.post("POST", "/copies/" + i, "x").status());
+                    }
+                }
+                int before = fleet.came();
+                fleet.script(request -> Reply.raw("").then(end));
+                for (int i = 0; i < 20; i++) {
+                    try (Web client = fleet.client()) {
+                        Page page = client.post("POST", "/copies/" + i, "pages=3");
+                        assertEquals(502, page.status());
+                        assertEquals("?0", page.field("retry-harmless"));
+                    }
+                }
+                assertEquals(before + 20, fleet.came(), "once each");
+                Totals totals = fleet.sidecar.httpTotals();
+                assertEquals(20, totals.failed());
+            }
+        }
+    }
+
+    @Test
+    void aReadWhoseHostFailsIsServedByAnother() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            AtomicInteger asked = new AtomicInteger();
+            fleet.script(request -> asked.incrementAndGet() % 2 == 1 ? Reply.raw("").then(End.RESET) : Reply.of(200, "", "good"));
+            for (int i = 0; i < 6; i++) {
+                assertEquals("good", client.get("/" + i).body());
+            }
+            assertEquals(12, asked.get());
+            fleet.script(request -> Reply.of(503, "Retry-Harmless: ?1\r\n", "later"));
+            Page busy = client.get("/turned-away");
+            assertEquals(503, busy.status());
+            assertEquals("?1", busy.field("retry-harmless"));
+            fleet.script(request -> Reply.of(500, "", "own word"));
+            assertEquals("own word", client.get("/an-error-of-the-application").body());
+        }
+    }
+
+    @Test
+    void aBodyShorterThanItsLengthCanBeTold() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start()) {
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nCache-Control: max-age=100\r\nContent-Length: 100\r\n\r\nhalf")
+                    .more("", 30).then(End.CLOSE));
+            try (Web client = fleet.client()) {
+                Page page = client.get("/x");
+                assertEquals("half", page.body());
+                assertTrue(page.cut());
+            }
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nCache-Control: max-age=100\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "4\r\nhalf\r\n").more("", 30).then(End.RESET));
+            try (Web client = fleet.client()) {
+                Page page = client.get("/x");
+                assertEquals("half", page.body());
+                assertTrue(page.cut());
+            }
+            fleet.script(request -> Reply.of(200, "", "whole"));
+            try (Web client = fleet.client()) {
+                assertEquals("whole", client.get("/x").body());
+            }
+        }
+    }
+
+    @Test
+    void aHostThatStallsInABodyIsGivenUp() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("purge = true", "stall = \"300ms\""));
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"));
+            try (Web client = fleet.client()) {
+                Page page = client.get("/x");
+                assertTrue(page.cut());
+            }
+        }
+    }
+
+    @Test
+    void answersThatMayBeReadInTwoWaysAreNotPassedOn() throws Exception {
+        String ok = "HTTP/1.1 200 OK\r\n";
+        for (String bytes : new String[] {ok + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            ok + "Content-Length: x\r\n\r\nabcd", ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabcd",
+            ok + "Transfer-Encoding: gzip, chunked\r\n\r\nabcd",
+            "nonsense\r\n\r\n", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"}) {
+            try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+                fleet.script(request -> Reply.raw(bytes));
+                Page page = client.post("POST", "/copies", "1");
+                assertEquals(502, page.status(), bytes);
+                assertEquals("?0", page.field("retry-harmless"));
+                assertEquals(1, fleet.came());
+                fleet.script(request -> Reply.of(200, "", "fine"));
+                // After a failure some are refused; none of these reaches a host.
+                Page next = client.post("POST", "/copies", "1");
+                for (int i = 0; i < 200 && next.status() == 503; i++) {
+                    Thread.sleep(20);
+                    next = client.post("POST", "/copies", "1");
+                }
+                assertEquals("fine", next.body());
+                assertEquals(2, fleet.came());
+            }
+        }
+    }
+
+    /** Noise behind an answer must not be taken for the next one. */
+    @Test
+    void noiseBehindAnAnswerEndsItsConnection() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n"
+                    + "Content-Length: 5\r\n\r\nwrong"));
+            for (int i = 0; i < 20; i++) {
+                assertEquals("ok", client.post("POST", "/copies/" + i, "1").body());
+            }
+        }
+    }
+
+    @Test
+    void aLateAnswerIsNotWaitedFor() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("class = \"copy\"", "class = \"copy\"\ndeadline = \"300ms\""));
+            fleet.script(request -> Reply.of(200, "", "late").after(800));
+            try (Web client = fleet.client()) {
+                Page page = client.post("POST", "/copies", "1");
+                assertEquals(504, page.status());
+                assertEquals("?0", page.field("retry-harmless"));
+                assertEquals(504, client.post("POST", "/copies", "1").status());
+            }
+            assertEquals(2, fleet.came());
+        }
+    }
+}
