--- a/src/main/java/eiderscale/http/Fetches.java
+++ b/src/main/java/eiderscale/http/Fetches.java
@@ -2,30 +2,23 @@
 
 import eiderscale.http.cache.CacheKey;
 import eiderscale.http.cache.HttpCache;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
+import eiderscale.joining.Joining;
+import java.util.IdentityHashMap;
 import java.util.Map;
 
 /**
  * The fetches that are under way for what may be stored, one for each target: others that want the same wait for it,
- * each as long as its own client does. What turned out not to be for sharing is not waited for again for a while, lest
- * its readers queue behind one another. For one event loop.
+ * each as long as its own client does. For one event loop.
  */
 final class Fetches {
     /** For how long a target that gave nothing to share is fetched by each on its own, in milliseconds. */
     private static final long APART_MS = 10_000;
     private static final int MOST_APART = 4096;
+    private static final int MOST_WAITING = 100_000;
 
     private final HttpFront front;
-    private final Map<CacheKey, Fetching> open = new HashMap<>();
-    private final Map<CacheKey, Long> apart = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<CacheKey, Long> eldest) {
-            return size() > MOST_APART;
-        }
-    };
+    private final Joining<CacheKey, Turn> joining = new Joining<>(MOST_WAITING, MOST_APART);
+    private final Map<Joining<CacheKey, Turn>.Flight, Fetching> open = new IdentityHashMap<>();
 
     Fetches(HttpFront front) {
         this.front = front;
@@ -33,49 +26,38 @@
 
     /** Gets what a request wants: by a fetch that is under way, or by one of its own. */
     void fetch(HttpCache.Fetch fetch, Turn turn, boolean mayJoin) {
-        boolean shared = mayJoin && fetch.method().equals("GET") && !isApart(fetch.key());
-        Fetching under = shared ? open.get(fetch.key()) : null;
-        if (under != null && under.join(turn)) {
+        boolean shared = mayJoin && fetch.method().equals("GET") && !joining.isApart(fetch.key(), front.nowMs());
+        Joining<CacheKey, Turn>.Flight under = shared ? joining.under(fetch.key()) : null;
+        if (under != null && open.get(under).join(turn)) {
             return;
         }
-        Fetching own = new Fetching(front, this, turn, turn.origin(), shared && under == null);
-        if (shared && under == null) {
-            open.put(fetch.key(), own);
-        }
-        own.start(fetch);
+        begin(fetch, turn, turn.origin(), shared && under == null);
     }
 
     /** Asks whether something still holds that was served; not if that is being asked already. */
     void behind(HttpCache.Fetch fetch, Turn turn) {
-        if (!open.containsKey(fetch.key())) {
-            Fetching own = new Fetching(front, this, null, turn.origin(), true);
-            open.put(fetch.key(), own);
-            own.start(fetch);
+        if (joining.under(fetch.key()) == null) {
+            begin(fetch, null, turn.origin(), true);
         }
     }
 
-    /** Nobody waits for this one any more. */
-    void close(CacheKey key, Fetching fetching) {
-        open.remove(key, fetching);
-    }
-
-    /** What this target gave was not for sharing. */
-    void keepApart(CacheKey key) {
-        apart.remove(key);
-        apart.put(key, front.nowMs() + APART_MS);
-    }
-
-    private boolean isApart(CacheKey key) {
-        Long until = apart.isEmpty() ? null : apart.get(key);
-        if (until != null && until <= front.nowMs()) {
-            apart.remove(key);
-            return false;
+    private void begin(HttpCache.Fetch fetch, Turn turn, Origin origin, boolean shared) {
+        Joining<CacheKey, Turn>.Flight flight = shared ? joining.begin(fetch.key()) : joining.beginAlone(fetch.key());
+        Fetching fetching = new Fetching(front, this, turn, origin, flight);
+        if (shared) {
+            open.put(flight, fetching);
         }
-        return until != null;
+        fetching.start(fetch);
     }
 
-    /** How many are under way that others may wait for. */
-    int open() {
-        return open.size();
+    /** Nobody may join it from here on. {@code apart}: what it brings is not for sharing. */
+    void close(Joining<CacheKey, Turn>.Flight flight, boolean apart) {
+        if (open.remove(flight) != null) {
+            if (apart) {
+                flight.closeApart(front.nowMs() + APART_MS);
+            } else {
+                flight.close();
+            }
+        }
     }
 }
--- a/src/main/java/eiderscale/http/Fetching.java
+++ b/src/main/java/eiderscale/http/Fetching.java
@@ -1,8 +1,10 @@
 package eiderscale.http;
 
+import eiderscale.http.cache.CacheKey;
 import eiderscale.http.cache.Fields;
 import eiderscale.http.cache.HttpCache;
 import eiderscale.http.cache.Stored;
+import eiderscale.joining.Joining;
 import eiderscale.net.Answer;
 import eiderscale.net.Client;
 import eiderscale.net.Clock;
@@ -10,7 +12,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import java.io.ByteArrayOutputStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -28,10 +29,9 @@
     private final Fetches fetches;
     /** What the request is like beside what the cache asks for. */
     private final Origin origin;
-    private final boolean shared;
+    private final Joining<CacheKey, Turn>.Flight flight;
     /** Null where there is none, or it has left. */
     private Turn first;
-    private final List<Turn> waiting = new ArrayList<>();
     private HttpCache.Fetch fetch;
     private Taken taken;
     private HttpAnswer answer;
@@ -41,20 +41,19 @@
     private ByteArrayOutputStream body;
     private boolean over;
 
-    Fetching(HttpFront front, Fetches fetches, Turn first, Origin origin, boolean shared) {
+    Fetching(HttpFront front, Fetches fetches, Turn first, Origin origin, Joining<CacheKey, Turn>.Flight flight) {
         this.front = front;
         this.fetches = fetches;
         this.first = first;
         this.origin = origin;
-        this.shared = shared;
+        this.flight = flight;
     }
 
     /** Takes one more client in; false if it is too late for that. */
     boolean join(Turn turn) {
-        if (over || answer != null && body == null) {
+        if (over || answer != null && body == null || !flight.join(turn)) {
             return false;
         }
-        waiting.add(turn);
         turn.waitsFor(this);
         if (answer != null) {
             // One that reads slowly must not hold the others back.
@@ -85,9 +84,9 @@
                 return;
             }
         } else {
-            waiting.remove(turn);
+            flight.leave(turn);
         }
-        if (first == null && waiting.isEmpty()) {
+        if (first == null && flight.isAlone()) {
             giveUp();
         } else if (first == null && answer != null) {
             answer.resume();
@@ -107,14 +106,12 @@
 
     private void over() {
         over = true;
-        if (shared) {
-            fetches.close(fetch.key(), this);
-        }
+        fetches.close(flight, false);
     }
 
     /** How its first client takes what it is sent. */
     void flow(boolean writable) {
-        if (answer != null && (writable || waiting.isEmpty())) {
+        if (answer != null && (writable || flight.isAlone())) {
             if (writable) {
                 answer.resume();
             } else {
@@ -137,7 +134,6 @@
             start(more.fetch());
         } else if (outcome instanceof HttpCache.Instead instead) {
             answer.discard();
-            over();
             if (first != null) {
                 first.hit(instead.hit(), fetch.reason(), answer.status);
             }
@@ -176,27 +172,21 @@
 
     /** It will not be stored: each has to ask for itself. */
     private void notShared() {
-        if (shared) {
-            fetches.close(fetch.key(), this);
-            fetches.keepApart(fetch.key());
-        }
+        fetches.close(flight, true);
         release(false);
     }
 
     /** What is stale as soon as it is stored serves nobody else: waiting for it again would have them queue. */
     private void releaseFrom(Stored stored) {
         boolean fresh = stored != null && stored.freshness().left(front.nowMs()) > 0;
-        if (!fresh && shared) {
-            fetches.keepApart(fetch.key());
-        }
+        fetches.close(flight, !fresh);
+        over();
         release(fresh);
     }
 
     /** Those that wait look again at what is stored. {@code mayJoin}: whether they may wait for one another once more. */
     private void release(boolean mayJoin) {
-        List<Turn> all = new ArrayList<>(waiting);
-        waiting.clear();
-        all.forEach(turn -> turn.lookAgain(mayJoin));
+        flight.release().forEach(turn -> turn.lookAgain(mayJoin));
     }
 
     @Override
@@ -225,7 +215,6 @@
 
     @Override
     public void end() {
-        over();
         if (body != null) {
             byte[] bytes = body.toByteArray();
             drop();
@@ -267,8 +256,7 @@
     private void unserved(Consumer<Turn> word) {
         over();
         long now = Clock.now();
-        List<Turn> all = new ArrayList<>(waiting);
-        waiting.clear();
+        List<Turn> all = flight.release();
         boolean late = origin.deadline() - now < WORTH_A_TRY;
         if (first != null) {
             orStale(first, word);
--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -98,6 +98,10 @@
         if (decoder != null && decoder.isBetween()) {
             decoder = null;
         }
+        if (inBody && turn != null && held == null && hasEnded()) {
+            inBody = false;
+            turn.spoilt(new BadRequest(400, "the body ended before its end"));
+        }
     }
 
     /** A further request waits for the answer to the one before; its body waits until its host takes more. */
--- a/src/main/java/eiderscale/http/cache/HttpCache.java
+++ b/src/main/java/eiderscale/http/cache/HttpCache.java
@@ -154,7 +154,15 @@
         }
         Fields kept = Storing.kept(answer, control);
         ContentRange range = status == 206 ? ContentRange.parse(answer.joined("content-range")) : null;
-        return new Pass(Stored.of(status, kept, Vary.selecting(answer, fetch.request), asked, came, range), verdict);
+        Stored stored = Stored.of(status, kept, Vary.selecting(answer, fetch.request), asked, came, range);
+        return new Pass(isOfUse(stored, came) ? stored : null, verdict);
+    }
+
+    /** What is stale at once, can be asked about by nothing and may not be served stale would only take room. */
+    private static boolean isOfUse(Stored stored, long now) {
+        Directives said = stored.control().directives();
+        return stored.freshness().left(now) > 0 || Validation.hasValidator(stored) || said.has("stale-while-revalidate")
+                || said.has("stale-if-error");
     }
 
     private void forget(Fetch fetch) {
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -76,6 +76,11 @@
         return gone;
     }
 
+    /** Whether the client has ended its sending: what is not here will not come. */
+    protected final boolean hasEnded() {
+        return ended;
+    }
+
     protected final boolean isQuitting() {
         return quitting;
     }
--- a/src/test/java/eiderscale/sidecar/HttpFleet.java
+++ b/src/test/java/eiderscale/sidecar/HttpFleet.java
@@ -255,6 +255,12 @@
             }
         }
 
+        /** Ends the sending; answers may still come. */
+        Web endSending() throws IOException {
+            socket.shutdownOutput();
+            return this;
+        }
+
         void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
