Back-pressure, broken uploads, pools and tenants of HTTP on sockets; where it stands

Change: a client that reads nothing of 40 MB, a host that reads nothing of 40 MB, a host that resets in the middle of a body, routes to two pools with a tenant's field. The side-by-side run keeps its files in memory.

--- a/bench/http/run.sh
+++ b/bench/http/run.sh
@@ -11,7 +11,8 @@
 proxy=${PROXY_CPU:-3}
 origin=${ORIGIN_CPU:-4}
 load=${LOAD_CPUS:-5,6}
-work=$(mktemp -d)
+# In memory: the file system of the cache is not what is compared.
+work=$(mktemp -d -p /dev/shm)
 mkdir -p "$work/files/hit" "$work/tmp" "$work/cache"
 head -c 1024 /dev/urandom | base64 -w0 | head -c 1024 > "$work/files/hit/1k"
 head -c 65536 /dev/urandom | base64 -w0 | head -c 65536 > "$work/files/hit/64k"
--- a/src/main/java/eiderscale/standin/StandInHttpHost.java
+++ b/src/main/java/eiderscale/standin/StandInHttpHost.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * An HTTP host on loopback whose answers are the word of a script, byte by byte if it likes, so that failures can be
@@ -75,6 +76,7 @@
     private final ChannelGroup connections;
     private final List<Came> came = new CopyOnWriteArrayList<>();
     private volatile Function<Came, Reply> script = request -> Reply.of(200, "", "ok");
+    private volatile Predicate<Came> resetAtHead = request -> false;
     private Channel server;
     private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 
@@ -115,6 +117,22 @@
         script = treatment;
     }
 
+    /** Requests of which it resets the connection when their head has come, before their body. */
+    public void resetAtHead(Predicate<Came> which) {
+        resetAtHead = which;
+    }
+
+    /** Reads nothing more on any connection, or reads on. */
+    public void reading(boolean on) {
+        loop.submit(() -> connections.forEach(connection -> connection.config().setAutoRead(on))).syncUninterruptibly();
+    }
+
+    /** Bytes of answers that its peers have not taken. */
+    public long untaken() {
+        return loop.submit(() -> connections.stream().mapToLong(connection -> connection.unsafe().outboundBuffer() == null ? 0
+                : connection.unsafe().outboundBuffer().totalPendingWriteBytes()).sum()).syncUninterruptibly().getNow();
+    }
+
     /** {@code ADDRESS:PORT}. */
     public String endpoint() {
         return "127.0.0.1:" + address.getPort();
@@ -148,6 +166,10 @@
                         field.getValue(), (one, other) -> one + ", " + other));
                 current = new Came(request.method().name(), request.uri(), fields, new StringBuilder());
                 came.add(current);
+                if (resetAtHead.test(current)) {
+                    current = null;
+                    reset(ctx.channel());
+                }
             }
             if (message instanceof HttpContent content && current != null) {
                 current.body.append(content.content().toString(StandardCharsets.ISO_8859_1));
--- a/src/test/java/eiderscale/sidecar/HttpServingTest.java
+++ b/src/test/java/eiderscale/sidecar/HttpServingTest.java
@@ -492,4 +492,114 @@
             assertTrue(fleet.sidecar.httpTotals().malformed() > 25);
         }
     }
+
+    /** A client that takes nothing holds its host back: what is in between is bounded. */
+    @Test
+    void aClientThatReadsNothingHoldsItsHostBack() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client(); Web other = fleet.client()) {
+            String big = "z".repeat(40_000_000);
+            fleet.script(request -> request.target().equals("/big") ? Reply.of(200, "", big) : Reply.of(200, "", "ok"));
+            client.send(Web.head("GET", "/big"));
+            while (fleet.came() == 0) {
+                Thread.sleep(5);
+            }
+            long before = -1;
+            long now = fleet.first.untaken() + fleet.second.untaken();
+            for (int i = 0; i < 200 && (now != before || now == 0); i++) {
+                Thread.sleep(100);
+                before = now;
+                now = fleet.first.untaken() + fleet.second.untaken();
+            }
+            assertTrue(now > 20_000_000, "still at the host: " + now);
+            assertEquals("ok", other.get("/small").body());
+            Page page = client.page("GET");
+            assertEquals(big.length(), page.body().length());
+            assertFalse(page.cut());
+        }
+    }
+
+    /** A host that takes nothing holds its client back, and neither is given up on before its time. */
+    @Test
+    void aHostThatReadsNothingHoldsItsClientBack() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace("2500ms", "20s").replace("purge = true", "largest-body = \"64MB\"")
+                    .replace("window = \"10s\"", "window = \"60s\""));
+            fleet.script(request -> Reply.of(200, "", String.valueOf(request.body().length())));
+            try (Web client = fleet.client()) {
+                java.util.concurrent.atomic.AtomicInteger sent = new java.util.concurrent.atomic.AtomicInteger();
+                Thread sender = new Thread(() -> {
+                    try {
+                        client.send(Web.head("POST", "/copies", "Content-Length", "40000000"));
+                        for (int i = 0; i < 400; i++) {
+                            client.send("y".repeat(100_000));
+                            sent.incrementAndGet();
+                        }
+                    } catch (java.io.IOException e) {
+                        sent.set(-1);
+                    }
+                });
+                sender.start();
+                while (fleet.came() == 0) {
+                    Thread.sleep(1);
+                }
+                fleet.first.reading(false);
+                fleet.second.reading(false);
+                int before = -1;
+                for (int i = 0; i < 100 && before != sent.get(); i++) {
+                    before = sent.get();
+                    Thread.sleep(200);
+                }
+                assertTrue(sent.get() < 400, "held back: " + sent.get());
+                fleet.first.reading(true);
+                fleet.second.reading(true);
+                assertEquals("40000000", client.page("POST").body());
+                sender.join();
+            }
+        }
+    }
+
+    /** Some of it was with a host: that may have begun to run it, and it is not sent again. */
+    @Test
+    void aBodyWhoseHostBreaksInItsMiddleIsSentOnce() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.first.resetAtHead(request -> true);
+            fleet.second.resetAtHead(request -> true);
+            String body = "b".repeat(3_000_000);
+            Thread sender = new Thread(() -> {
+                try {
+                    client.send(Web.head("POST", "/copies", "Content-Length", String.valueOf(body.length())) + body);
+                } catch (java.io.IOException e) {
+                    // Closed behind the answer.
+                }
+            });
+            sender.start();
+            Page page = client.page("POST");
+            assertEquals(502, page.status());
+            assertEquals("?0", page.field("retry-harmless"));
+            sender.join();
+            assertEquals(1, fleet.came());
+        }
+    }
+
+    @Test
+    void routesLeadToTheirPoolsAndTenants() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            fleet.start(fleet.base().replace(", \"" + fleet.second.endpoint() + "\"]", "]\n\n[[http-pools]]\nname = \"other\"\n"
+                    + "hosts = [\"" + fleet.second.endpoint() + "\"]").replace("path = \"/nominee/\"",
+                    "path = \"/nominee/\"\npool = \"other\"\ntenant-field = \"X-Tenant\"")
+                    .replace("[[classes]]\nname = \"view\"", "[[tenants]]\nname = \"members\"\nshare = 1.0\n\n"
+                    + "[[classes]]\nname = \"view\"").replace("[http]", "[clients]\ntenant = \"members\"\n\n[http]"));
+            try (Web client = fleet.client()) {
+                for (int i = 0; i < 10; i++) {
+                    assertEquals(200, client.get("/a" + i).status());
+                    assertEquals(200, client.post("PUT", "/nominee/" + i, "x", "Idempotency-Key", "k", "X-Tenant", "members").status());
+                }
+                assertEquals(10, fleet.first.came().size());
+                assertEquals(10, fleet.second.came().size());
+                Page unknown = client.post("PUT", "/nominee/1", "x", "Idempotency-Key", "k", "X-Tenant", "nobody");
+                assertEquals(400, unknown.status());
+                assertEquals(20, fleet.came());
+            }
+        }
+    }
 }
