Requests let go of their alarms, which held each of them for seconds

Need: under misses the p99 was 316 to 364 ms, with full collections of 300 ms one after the other: the end of each request's wait stood in the loop's queue until its deadline, and the stall of each body until that, with all they knew.

Change: only a request that waits for another's fetch sets such an alarm, and it is cancelled with the wait, as that of a body with its end.

--- a/src/main/java/eiderscale/http/Fetching.java
+++ b/src/main/java/eiderscale/http/Fetching.java
@@ -67,7 +67,7 @@
         fetch = what;
         asked = front.nowMs();
         if (first != null) {
-            first.waitsFor(this);
+            first.leads(this);
         }
         Taken given = origin.take(what.method(), what.fields(), this);
         if (!over) {
--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 
 /**
  * One client that speaks HTTP/1.1. Its requests are served one after the other, so that answers come in their order
@@ -240,8 +241,8 @@
         }
     }
 
-    void after(Runnable task, long ms) {
-        later(task, ms);
+    Future<?> after(Runnable task, long ms) {
+        return later(task, ms);
     }
 
     boolean hasLeft() {
--- a/src/main/java/eiderscale/http/Turn.java
+++ b/src/main/java/eiderscale/http/Turn.java
@@ -14,6 +14,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Set;
@@ -40,6 +41,7 @@
     private boolean bodyDone;
     private boolean started;
     private int waits;
+    private Future<?> alarm;
     /** One of these at most: what it waits for. */
     private Fetching fetching;
     private Taken taken;
@@ -62,6 +64,7 @@
     // What comes from the client.
 
     void spoilt(BadRequest bad) {
+        clearAlarm();
         if (upload != null) {
             upload.cut();
         }
@@ -173,7 +176,7 @@
             reply.goOn();
         }
         long stallMs = Math.max(1, limits.stall() / Clock.MILLISECOND);
-        connection.after(() -> seeProgress(came, stallMs), stallMs);
+        seeLater(stallMs);
         if (head.length() > limits.hold()) {
             stream();
             start();
@@ -191,10 +194,15 @@
         if (late || came == before && wantsBody()) {
             spoilt(new BadRequest(408, "body not here in time"));
         } else {
-            connection.after(() -> seeProgress(came, stallMs), stallMs);
+            seeLater(stallMs);
         }
     }
 
+    private void seeLater(long stallMs) {
+        long before = came;
+        setAlarm(() -> seeProgress(before, stallMs), stallMs);
+    }
+
     private void stream() {
         upload = new Upload(head.length(), connection::look);
     }
@@ -225,6 +233,7 @@
         }
         if (last && !reply.isDone()) {
             bodyDone = true;
+            clearAlarm();
             if (upload != null) {
                 upload.end();
             } else {
@@ -291,17 +300,31 @@
         }
     }
 
-    /** Waits for that one. */
+    /** That one is its own: the core answers it in time. */
+    void leads(Fetching one) {
+        fetching = one;
+    }
+
+    /** Waits for that one, which is another's. */
     void waitsFor(Fetching one) {
-        boolean first = fetching == null;
         fetching = one;
-        if (waits++ == 0 && first) {
-            long left = Math.max(1, (origin.deadline() - Clock.now()) / Clock.MILLISECOND);
-            connection.after(this::outOfTime, left);
+        waits++;
+        setAlarm(this::outOfTime, Math.max(1, (origin.deadline() - Clock.now()) / Clock.MILLISECOND));
+    }
+
+    /** One at a time: the body's progress before it has started, the end of its wait after that. */
+    private void setAlarm(Runnable task, long ms) {
+        clearAlarm();
+        alarm = connection.after(task, ms);
+    }
+
+    private void clearAlarm() {
+        if (alarm != null) {
+            alarm.cancel(false);
+            alarm = null;
         }
     }
 
-    /** A fetch of its own answers by itself in time; one that it waits for may be another's. */
     private void outOfTime() {
         if (!reply.hasBegun() && !reply.isDone() && !connection.hasLeft() && fetching != null) {
             leave();
@@ -319,6 +342,7 @@
 
     /** What it waited for is over: the store may have it now. */
     void lookAgain(boolean mayJoin) {
+        clearAlarm();
         fetching = null;
         if (!connection.hasLeft()) {
             plan(mayJoin && waits < MOST_WAITS);
@@ -337,7 +361,8 @@
         if (why != Reuse.Reason.HIT && answered != 0) {
             status.answered(answered);
         }
-        if (waits > 1 || why == Reuse.Reason.HIT && waits > 0) {
+        clearAlarm();
+        if (waits > 0) {
             status.collapsed();
         }
         reply.hit(hit, status);
@@ -394,6 +419,7 @@
 
     @Override
     public void refused(long retryAfterMs) {
+        clearAlarm();
         fetching = null;
         closeOverUpload();
         reply.refused(retryAfterMs);
@@ -401,6 +427,7 @@
 
     @Override
     public void failed() {
+        clearAlarm();
         fetching = null;
         closeOverUpload();
         reply.failed(origin.deadline() - Clock.now() < LATE);
@@ -434,6 +461,7 @@
 
     /** The client has left. */
     void gone() {
+        clearAlarm();
         letGo();
         if (upload != null) {
             upload.cut();
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -141,9 +142,9 @@
         server.loop().execute(task);
     }
 
-    /** Runs a task so many milliseconds later. */
-    protected final void later(Runnable task, long ms) {
-        server.loop().schedule(task, ms, TimeUnit.MILLISECONDS);
+    /** Runs a task so many milliseconds later; to be cancelled where it is of no use any more, as it holds what it knows. */
+    protected final Future<?> later(Runnable task, long ms) {
+        return server.loop().schedule(task, ms, TimeUnit.MILLISECONDS);
     }
 
     /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
