--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -20,7 +20,7 @@
 class ArchitectureTest {
     /** Packages without I/O, clock and threads. */
     private static final String[] PURE = {"eiderscale", "eiderscale.config",
-        "eiderscale.connections", "eiderscale.http.cache", "eiderscale.joining"};
+        "eiderscale.connections", "eiderscale.http.cache", "eiderscale.joining", "eiderscale.zones"};
 
     private static final DescribedPredicate<JavaClass> MACHINERY = resideInAnyPackage("java.io..", "java.nio.file..",
             "java.nio.channels..", "java.util.concurrent..", "java.time", "java.util.logging..", "io.netty.channel..",
