Both test clients read lines by one method

Need: the HTTP client of the tests had a copy of the meta client's reading of a line.

Change: one static method in Talk.

--- a/src/test/java/eiderscale/sidecar/HttpFleet.java
+++ b/src/test/java/eiderscale/sidecar/HttpFleet.java
@@ -177,14 +177,7 @@
         }
 
         String line() throws IOException {
-            StringBuilder line = new StringBuilder();
-            for (int c = in.read(); c >= 0; c = in.read()) {
-                if (c == '\n') {
-                    return line.substring(0, line.length() - 1);
-                }
-                line.append((char) c);
-            }
-            return null;
+            return Talk.line(in);
         }
 
         /** The next answer; null where the connection ends instead. */
--- a/src/test/java/eiderscale/sidecar/Talk.java
+++ b/src/test/java/eiderscale/sidecar/Talk.java
@@ -37,6 +37,10 @@
 
     /** The next line without its CRLF; null at the end of the stream. */
     String line() throws IOException {
+        return line(in);
+    }
+
+    static String line(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int c = in.read(); c >= 0; c = in.read()) {
             if (c == '\n') {
