--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -19,6 +19,7 @@
     static final double CROWDED = 0.1;
     private static final double MOST_CROWD = 8;
     private static final double LATENCY_WEIGHT = 0.1;
+    private static final long LEARN_EVERY_NS = 250_000_000L;
 
     /** One server as this balancer sees it. */
     static final class Host {
@@ -27,6 +28,8 @@
         int zone;
         int kind;
         int cell;
+        /** As listed, and as its kind makes of it. */
+        double listed;
         double weight;
         double inverseWeight;
         boolean inOwnZone;
@@ -58,6 +61,8 @@
     private final Settings settings;
     private long random;
     private double totalWeight;
+    private final Capacity capacity = new Capacity();
+    private long learntAt;
     /** Balancers per host: guards against keys hot over many balancers, none of which sees enough of them. */
     double crowd = 1;
     /** Ignores breakers: set for one search when they leave nothing to choose from. */
@@ -92,8 +97,7 @@
             host.inOwnZone = host.zone == settings.zone();
             host.kind = server.kind();
             host.cell = server.cell();
-            host.weight = server.weight() > 0 ? server.weight() : 1;
-            host.inverseWeight = 1 / host.weight;
+            host.listed = server.weight() > 0 ? server.weight() : 1;
             host.state = server.state();
             host.startedAt = server.startedAt();
             if (restarted && now - host.startedAt < settings.warmWithin()) {
@@ -117,12 +121,43 @@
                 origins.add(host);
             } else if (host.state == State.READY) {
                 caches[cacheCount++] = host;
-                totalWeight += host.weight;
             }
         }
+        weigh();
         crowd = Math.max(1, Math.min(MOST_CROWD, (double) settings.instances() / Math.max(1, cacheCount)));
     }
 
+    /** Hosts of faster kinds get more of the keys. */
+    private void weigh() {
+        totalWeight = 0;
+        for (int i = 0; i < cacheCount; i++) {
+            caches[i].weight = caches[i].listed * capacity.factor(caches[i].kind);
+            caches[i].inverseWeight = 1 / caches[i].weight;
+            totalWeight += caches[i].weight;
+        }
+    }
+
+    /** A cache answered and told how busy it is: see {@link Capacity}. */
+    void heardLoad(long now, Host host, double busy) {
+        if (host.coldSince != 0 || isOrigin(host)) {
+            return;
+        }
+        capacity.answered(now, host.kind, busy);
+        if (now - learntAt < LEARN_EVERY_NS) {
+            return;
+        }
+        learntAt = now;
+        capacity.look();
+        for (int i = 0; i < cacheCount; i++) {
+            if (caches[i].coldSince == 0 && caches[i].openUntil == 0) {
+                capacity.hosts(caches[i].kind, caches[i].listed);
+            }
+        }
+        if (capacity.learn()) {
+            weigh();
+        }
+    }
+
     boolean isOrigin(Host host) {
         return settings.aside() && host.kind == settings.originKind();
     }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -367,6 +367,10 @@
         boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
         long took = flight.streaming ? outcome.took() : now - attempt.sentAt;
         health.onEnd(now, attempt.host, outcome.reason(), took, suspect);
+        int busy = settings.report().busy();
+        if (outcome.reason().answered() && busy >= 0 && busy < outcome.report().length) {
+            health.heardLoad(now, attempt.host, outcome.report()[busy]);
+        }
         learn(now, took, flight, attempt, outcome.reason(), broken, isUnexplained(outcome.report()));
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
