--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -23,6 +23,9 @@
     /** Part of the longest wait told to a refused client that is told to each of them. */
     private static final double LEAST_WAIT = 0.25;
     private static final int WRITE_SMOOTHING = 8;
+    private static final double READ_SMOOTHING = 0.05;
+    /** Most of the aim that a fetch is allowed: a slow origin shows all the same. */
+    private static final double MOST_FETCH = 0.2;
 
     private final Settings settings;
     private double fills = 1;
@@ -30,6 +33,9 @@
     private long loadAt;
     /** Mean time that an ordered request keeps its key. */
     long writeTime;
+    /** Mean times of reads that hosts held and of those that they fetched; 0 until known. */
+    private double hitTime;
+    private double missTime;
     private final double[] tokens;
     private final long[] filled;
 
@@ -67,11 +73,30 @@
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
 
-    /** When a request that is still out tells of overload. */
+    /** How long an answer may take before it tells of overload. */
     long slowAfter(RequestClass requestClass) {
         return (long) (requestClass.aim() * SLOW);
     }
 
+    /**
+     * What a fetch adds to that. Guards against taking misses for overload: they are slow at an idle fleet
+     * too, so that with many cold hosts nine in ten were refused for good while those hosts were 15% busy.
+     * Harm: an origin that slows down is noticed later, by {@link #MOST_FETCH} of the aim.
+     */
+    long fetch(RequestClass requestClass) {
+        double extra = hitTime > 0 && missTime > 0 ? Math.max(0, missTime - hitTime) : 0;
+        return (long) Math.min(requestClass.aim() * MOST_FETCH, extra);
+    }
+
+    /** A read was answered by a cache that said how it came by the value. */
+    void readTook(boolean hit, long took) {
+        if (hit) {
+            hitTime += (hitTime == 0 ? 1 : READ_SMOOTHING) * (took - hitTime);
+        } else {
+            missTime += (missTime == 0 ? 1 : READ_SMOOTHING) * (took - missTime);
+        }
+    }
+
     /** Whether so much is shed that nothing may be sent twice without need. */
     boolean overloaded() {
         return admitted < 0.5;
--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -128,9 +128,23 @@
                           boolean repeat, boolean write) {
     }
 
+    /** What a host says of how it came by a value, where hosts say so. */
+    public enum Lookup {
+        /** Nothing. */
+        UNTOLD,
+        /** It held the value. */
+        HIT,
+        /** It had to fetch the value. */
+        MISS
+    }
+
     /** The end of an attempt. {@code closed}: the request has its final answer. */
     public record Outcome(long request, int attempt, Reason reason, long took, boolean closed,
-                          float[] report) {
+                          float[] report, Lookup lookup) {
+        /** An outcome that tells nothing of a lookup. */
+        public Outcome(long request, int attempt, Reason reason, long took, boolean closed, float[] report) {
+            this(request, attempt, reason, took, closed, report, Lookup.UNTOLD);
+        }
     }
 
     /** Events in. All times are nanoseconds of the caller's clock. */
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -198,7 +198,9 @@
                 && flight.requestClass.hedge()) {
             flight.hedgeAt = now + Math.max(1, delay);
         }
-        flight.slowAt = now + admission.slowAfter(flight.requestClass);
+        // Until it is answered nobody knows whether it was a miss.
+        flight.slowAt = now + admission.slowAfter(flight.requestClass)
+                + (flight.request.write() ? 0 : admission.fetch(flight.requestClass));
         wake(now, flight, Math.min(flight.hedgeAt, flight.slowAt));
     }
 
@@ -371,7 +373,7 @@
         if (outcome.reason().answered() && busy >= 0 && busy < outcome.report().length) {
             health.heardLoad(now, attempt.host, outcome.report()[busy]);
         }
-        learn(now, took, flight, attempt, outcome.reason(), broken, isUnexplained(outcome.report()));
+        learn(now, took, flight, attempt, outcome, broken, isUnexplained(outcome.report()));
         if (health.connectFailures > HostHealth.CROWDED) {
             actions.closeIdle(attempt.host.id);
         }
@@ -418,12 +420,29 @@
         }
     }
 
-    private void learn(long now, long took, Flight flight, Attempt attempt, Reason reason, boolean broken,
+    private void learn(long now, long took, Flight flight, Attempt attempt, Outcome outcome, boolean broken,
                        boolean unexplained) {
+        Reason reason = outcome.reason();
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(took);
         }
-        boolean quick = took < admission.slowAfter(flight.requestClass);
+        boolean held = outcome.lookup() == Lookup.HIT;
+        if (reason == Reason.OK && outcome.lookup() != Lookup.UNTOLD) {
+            admission.readTook(held, took);
+        }
+        long allowed = admission.slowAfter(flight.requestClass)
+                + (outcome.lookup() == Lookup.MISS ? admission.fetch(flight.requestClass) : 0);
+        boolean quick = took < allowed;
+        if (held && !quick && flight.slowAt != NEVER) {
+            // It was allowed a fetch that it did not need.
+            flight.slowAt = NEVER;
+            admission.load(now, Admission.SLOWNESS);
+        }
+        if (!settings.aside() && reason == Reason.ERROR
+                && outcome.report().length > 0 && !flight.request.write()) {
+            // A host that is well enough to report failed: most often a fetch that the origin had no room for.
+            admission.load(now, Admission.SLOWNESS);
+        }
         boolean full = reason == Reason.REJECTED && !broken && !unexplained;
         if (!health.isOrigin(attempt.host) && (full || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
--- a/src/main/java/eiderscale/meta/MetaFrame.java
+++ b/src/main/java/eiderscale/meta/MetaFrame.java
@@ -1,5 +1,6 @@
 package eiderscale.meta;
 
+import eiderscale.Api;
 import eiderscale.net.Answer;
 import java.util.List;
 
@@ -25,6 +26,12 @@
         return flag(1, 'L');
     }
 
+    @Override
+    public Api.Lookup lookup() {
+        String held = flag(1, 'h');
+        return "1".equals(held) ? Api.Lookup.HIT : "0".equals(held) ? Api.Lookup.MISS : Api.Lookup.UNTOLD;
+    }
+
     boolean is(int at, String word) {
         return at < words.size() && words.get(at).equals(word);
     }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -338,7 +338,8 @@
             exchange.last = reason == Reason.OK ? null : answer;
             try {
                 exchange.generation.module.onOutcome(now, new Api.Outcome(exchange.id, attempt.number, reason,
-                        attempt.took(now), exchange.isClosed(), report));
+                        attempt.took(now), exchange.isClosed(), report,
+                        answer == null ? Api.Lookup.UNTOLD : answer.lookup()));
             } finally {
                 exchange.last = null;
             }
--- a/src/main/java/eiderscale/sim/Adapter.java
+++ b/src/main/java/eiderscale/sim/Adapter.java
@@ -206,7 +206,11 @@
             report[i] = frame.getFloat(at + 37 + 4 * i);
         }
         return new Api.Outcome(frame.getLong(at + 5), unsignedShort(at + 13), reason, frame.getLong(at + 23),
-                frame.get(at + 31) != 0, report);
+                frame.get(at + 31) != 0, report, lookup(frame.getInt(at + 32)));
+    }
+
+    private static Api.Lookup lookup(int remark) {
+        return remark == 1 ? Api.Lookup.HIT : remark == 2 || remark == 3 ? Api.Lookup.MISS : Api.Lookup.UNTOLD;
     }
 
     /** Start and count of a piece of the tail, checked against the frame's end. */
