--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -440,7 +440,7 @@
         }
         if (!settings.aside() && reason == Reason.ERROR
                 && outcome.report().length > 0 && !flight.request.write()) {
-            // A host that is well enough to report failed: most often a fetch that the origin had no room for.
+            // A host that is well enough to report failed: most often its fetch found no room at the origin.
             admission.load(now, Admission.SLOWNESS);
         }
         boolean full = reason == Reason.REJECTED && !broken && !unexplained;
