--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -20,6 +20,9 @@
     private static final double MOST_CROWD = 8;
     private static final double LATENCY_WEIGHT = 0.1;
     private static final long LEARN_EVERY_NS = 250_000_000L;
+    private static final double BUSY_WEIGHT = 0.05;
+    private static final double LEAST_BUSY = 0.02;
+    private static final double MOST_EASE = 2;
 
     /** One server as this balancer sees it. */
     static final class Host {
@@ -63,6 +66,9 @@
     private double totalWeight;
     private final Capacity capacity = new Capacity();
     private long learntAt;
+    /** How busy hosts say they are lately, in their slow start and past it. */
+    private double coldBusy = 1;
+    private double warmBusy;
     /** Balancers per host: guards against keys hot over many balancers, none of which sees enough of them. */
     double crowd = 1;
     /** Ignores breakers: set for one search when they leave nothing to choose from. */
@@ -102,6 +108,7 @@
             host.startedAt = server.startedAt();
             if (restarted && now - host.startedAt < settings.warmWithin()) {
                 host.coldSince = host.startedAt;
+                coldBusy = 1;
                 host.tokens = nextUnit();
                 host.filledAt = now;
                 close(host);
@@ -139,10 +146,12 @@
 
     /** A cache answered and told how busy it is: see {@link Capacity}. */
     void heardLoad(long now, Host host, double busy) {
-        if (host.coldSince != 0 || isOrigin(host)) {
-            return;
+        if (host.coldSince != 0) {
+            coldBusy += BUSY_WEIGHT * (busy - coldBusy);
+        } else if (!isOrigin(host)) {
+            warmBusy += BUSY_WEIGHT * (busy - warmBusy);
+            capacity.answered(now, host.kind, busy);
         }
-        capacity.answered(now, host.kind, busy);
         if (now - learntAt < LEARN_EVERY_NS) {
             return;
         }
@@ -176,8 +185,11 @@
             host.coldSince = 0;
             return true;
         }
-        // The same keys at every balancer, so that all of them together stay within the share.
-        return ((hash & 2047) < share * 2048 || panic) && withinBudget(now, host, share);
+        // The same keys at every balancer, so that all of them together stay within the share; up to twice
+        // that while cold hosts say that they idle beside the warm, always within the budget. Guards against
+        // waiting for time to pass where hosts warm with their work.
+        double ease = Math.max(1, Math.min(MOST_EASE, warmBusy / Math.max(LEAST_BUSY, coldBusy)));
+        return ((hash & 2047) < share * ease * 2048 || panic) && withinBudget(now, host, share);
     }
 
     /**
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -426,18 +426,12 @@
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(took);
         }
-        boolean held = outcome.lookup() == Lookup.HIT;
         if (reason == Reason.OK && outcome.lookup() != Lookup.UNTOLD) {
-            admission.readTook(held, took);
+            admission.readTook(outcome.lookup() == Lookup.HIT, took);
         }
         long allowed = admission.slowAfter(flight.requestClass)
                 + (outcome.lookup() == Lookup.MISS ? admission.fetch(flight.requestClass) : 0);
         boolean quick = took < allowed;
-        if (held && !quick && flight.slowAt != NEVER) {
-            // It was allowed a fetch that it did not need.
-            flight.slowAt = NEVER;
-            admission.load(now, Admission.SLOWNESS);
-        }
         if (!settings.aside() && reason == Reason.ERROR
                 && outcome.report().length > 0 && !flight.request.write()) {
             // A host that is well enough to report failed: most often its fetch found no room at the origin.
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -24,6 +24,8 @@
     /** Attempts that began while another of the same request was out. */
     long copies;
     long localRefusals;
+    /** New connections for which hosts had no room. */
+    long tablesFull;
     /** Clients' connections closed for room, for silence or halves, for long idling, and for want of any room. */
     long evicted;
     /** Closed as clients had few left to open. */
@@ -50,8 +52,8 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d refused %d failed %d gone %d departed %d malformed %d last-calls %d | connects %d"
-                + " local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
-                clientsGone, departed, malformed, lastCalls, connects, localRefusals, evicted, eased,
+                + " tables-full %d local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", taken, served, refused, failed,
+                clientsGone, departed, malformed, lastCalls, connects, tablesFull, localRefusals, evicted, eased,
                 timedOut, retired, turnedAway, timers, lateTimers, latest / 1e6));
         for (Reason reason : Reason.values()) {
             if (outcomes[reason.ordinal()] > 0) {
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -4,6 +4,7 @@
 import eiderscale.config.Site;
 import eiderscale.Api;
 import eiderscale.Api.Reason;
+import eiderscale.connections.IdleTime;
 import eiderscale.connections.StaleAges;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -73,6 +74,7 @@
     /** All idle connections, the coldest first. */
     private final Set<Link> idle = new LinkedHashSet<>();
     private int links;
+    private final IdleTime idleTime = new IdleTime();
 
     HostPool(Site site, EventLoop loop, Counters counters, HostProtocol protocol, int mostLinks, Listener listener) {
         this.site = site;
@@ -197,7 +199,7 @@
 
     /** Retires connections well before their hosts would, and forgets hosts that are gone. */
     void sweep() {
-        long oldest = Clock.now() - (long) (site.idleTime * IDLE_PART);
+        long oldest = Clock.now() - idleTime.limit((long) (site.idleTime * IDLE_PART));
         for (Link link : List.copyOf(idle)) {
             if (link.idleSince > oldest) {
                 break;
@@ -352,10 +354,24 @@
                 counters.noise("a cache host broke the protocol: " + verdict.fault());
                 finish(Reason.ERROR, null, true);
             } else {
-                finish(verdict.reason(), verdict.answer(), !sent.isSuccess());
+                boolean full = isFull(verdict);
+                if (full) {
+                    counters.tablesFull++;
+                    idleTime.turnedAway();
+                } else if (verdict.reason() == Reason.OK && idleFor < 0) {
+                    idleTime.welcomed();
+                }
+                // A connection that was one too many stays that.
+                finish(verdict.reason(), verdict.answer(), full || !sent.isSuccess());
             }
         }
 
+        /** Whether its host had no room for this connection: a full queue would come with a report, where there are any. */
+        private boolean isFull(HostProtocol.Verdict verdict) {
+            return verdict.reason() == Reason.REJECTED && idleFor < 0 && host.sendUntil == NEVER
+                    && site.settings.report().busy() >= 0 && verdict.answer().loadReport() == null;
+        }
+
         /**
          * A connection is free only once all that came has been read and nothing came behind the answer: noise
          * there, whole or in part, would be taken for the answer to the next request. Likewise any byte on an
--- a/src/test/java/eiderscale/CapacityTest.java
+++ b/src/test/java/eiderscale/CapacityTest.java
@@ -62,6 +62,32 @@
         assertTrue(share > 0.42 && share < 0.58, () -> "share of the fast kind " + share);
     }
 
+    /** Sends to three cold hosts among six warm ones, which report that they are {@code coldBusy} where those are half busy. */
+    private static long coldSends(double coldBusy) {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.hedge = false;
+        builder.report = new Api.ReportLayout(-1, -1, 0);
+        Bed bed = new Bed(builder).servers(6);
+        for (int id = 7; id <= 9; id++) {
+            bed.delta(Bed.server(id, Api.State.READY, bed.now));
+        }
+        for (int id = 1; id <= 6000; id++) {
+            Bed.Sent sent = bed.request(id, Bed.READ, 7919L * id);
+            bed.pass(1);
+            float busy = (float) (sent.server() > 6 ? coldBusy : 0.5);
+            bed.router.onOutcome(bed.now, new Api.Outcome(id, 0, Api.Reason.OK, 0, true, new float[] {busy}));
+        }
+        return bed.sends.stream().filter(sent -> sent.server() > 6).count();
+    }
+
+    @Test
+    void coldHostsThatIdleGetMoreButNeverTwiceTheirShare() {
+        long busy = coldSends(0.9);
+        long idle = coldSends(0.05);
+        assertTrue(idle > busy * 1.1, () -> "idle " + idle + ", busy " + busy);
+        assertTrue(idle <= busy * 2.1, () -> "idle " + idle + ", busy " + busy);
+    }
+
     @Test
     void aHandfulOfAnswersChangesNothing() {
         Capacity capacity = new Capacity();
