One threshold for hits and misses, one reading of the busy share

Read over: Router added the time of a fetch to the threshold in two places, and picked the busy share out of a report in two, of which one alone kept out what is no number: HostHealth's means of cold and warm hosts would have held it for good. HostPool asked the answer of a rejection that HTTP hosts give none with. Now Admission.slowAfter takes whether a fetch may be in it, Router.busy is the one reading, held to 1, and a table of reports that cannot be stands in CapacityTest.

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -73,19 +73,15 @@
         admitted = Math.max(LEAST_ADMITTED, Math.min(1, admitted * Math.exp(sign * step)));
     }
 
-    /** How long an answer may take before it tells of overload. */
-    long slowAfter(RequestClass requestClass) {
-        return (long) (requestClass.aim() * SLOW);
-    }
-
     /**
-     * What a fetch adds to that. Guards against taking misses for overload: they are slow at an idle fleet
-     * too, so that with many cold hosts nine in ten were refused for good while those hosts were 15% busy.
-     * Harm: an origin that slows down is noticed later, by {@link #MOST_FETCH} of the aim.
+     * How long an answer may take before it tells of overload; longer where it may have been {@code fetched}.
+     * Guards against taking misses for overload: they are slow at an idle fleet too, so that with many cold
+     * hosts nine in ten were refused for good while those were 15% busy. Harm: an origin that slows down is
+     * noticed later, by {@link #MOST_FETCH} of the aim.
      */
-    long fetch(RequestClass requestClass) {
-        double extra = hitTime > 0 && missTime > 0 ? Math.max(0, missTime - hitTime) : 0;
-        return (long) Math.min(requestClass.aim() * MOST_FETCH, extra);
+    long slowAfter(RequestClass requestClass, boolean fetched) {
+        double fetch = fetched && hitTime > 0 ? Math.max(0, missTime - hitTime) : 0;
+        return (long) (requestClass.aim() * SLOW + Math.min(requestClass.aim() * MOST_FETCH, fetch));
     }
 
     /** A read was answered by a cache that said how it came by the value. */
--- a/src/main/java/eiderscale/Capacity.java
+++ b/src/main/java/eiderscale/Capacity.java
@@ -35,15 +35,12 @@
 
     private final Map<Integer, Kind> kinds = new TreeMap<>();
 
-    /** An answer came from a warm host of a kind that has been busy for {@code share} of its time lately. */
+    /** An answer came from a warm host of a kind that has been busy for {@code share}, 0 to 1, lately. */
     void answered(long now, int kind, double share) {
-        if (!(share >= 0)) {
-            return;
-        }
         Kind seen = kinds.computeIfAbsent(kind, k -> new Kind());
         double kept = Math.exp((seen.at - now) / MEMORY_NS);
         seen.answers = seen.answers * kept + 1;
-        seen.busy = seen.busy * kept + Math.max(LEAST_BUSY, Math.min(1, share));
+        seen.busy = seen.busy * kept + Math.max(LEAST_BUSY, share);
         seen.at = now;
     }
 
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -111,8 +111,8 @@
         this.admission = new Admission(settings);
         this.hedging = new Hedging(settings.budget(), settings.hedgeQuantile());
         this.order = new KeyOrder<>(settings.keyQuiet());
-        this.mostLate = (long) (LATE * settings.classes().stream().mapToLong(admission::slowAfter).min()
-                .orElse(0));
+        this.mostLate = (long) (LATE * settings.classes().stream()
+                .mapToLong(requestClass -> admission.slowAfter(requestClass, false)).min().orElse(0));
         this.mostAttempts = Math.max(1, Math.min(UP_TO, settings.maxAttempts()));
     }
 
@@ -199,8 +199,7 @@
             flight.hedgeAt = now + Math.max(1, delay);
         }
         // Until it is answered nobody knows whether it was a miss.
-        flight.slowAt = now + admission.slowAfter(flight.requestClass)
-                + (flight.request.write() ? 0 : admission.fetch(flight.requestClass));
+        flight.slowAt = now + admission.slowAfter(flight.requestClass, !flight.request.write());
         wake(now, flight, Math.min(flight.hedgeAt, flight.slowAt));
     }
 
@@ -369,9 +368,9 @@
         boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
         long took = flight.streaming ? outcome.took() : now - attempt.sentAt;
         health.onEnd(now, attempt.host, outcome.reason(), took, suspect);
-        int busy = settings.report().busy();
-        if (outcome.reason().answered() && busy >= 0 && busy < outcome.report().length) {
-            health.heardLoad(now, attempt.host, outcome.report()[busy]);
+        double busy = busy(outcome.report());
+        if (outcome.reason().answered() && busy >= 0) {
+            health.heardLoad(now, attempt.host, Math.min(1, busy));
         }
         learn(now, took, flight, attempt, outcome, broken, isUnexplained(outcome.report()));
         if (health.connectFailures > HostHealth.CROWDED) {
@@ -398,8 +397,13 @@
      * reasons of their own: taken for a sign of load, that has most requests shed while others stand idle.
      */
     private boolean isIdle(float[] report) {
-        int busy = settings.report().busy();
-        return busy >= 0 && busy < report.length && report[busy] < IDLE;
+        return busy(report) < IDLE;
+    }
+
+    /** How busy a host says that it is; no number where it does not say. */
+    private double busy(float[] report) {
+        int at = settings.report().busy();
+        return at >= 0 && at < report.length ? report[at] : Double.NaN;
     }
 
     /**
@@ -429,9 +433,7 @@
         if (reason == Reason.OK && outcome.lookup() != Lookup.UNTOLD) {
             admission.readTook(outcome.lookup() == Lookup.HIT, took);
         }
-        long allowed = admission.slowAfter(flight.requestClass)
-                + (outcome.lookup() == Lookup.MISS ? admission.fetch(flight.requestClass) : 0);
-        boolean quick = took < allowed;
+        boolean quick = took < admission.slowAfter(flight.requestClass, outcome.lookup() == Lookup.MISS);
         if (!settings.aside() && reason == Reason.ERROR
                 && outcome.report().length > 0 && !flight.request.write()) {
             // A host that is well enough to report failed: most often its fetch found no room at the origin.
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -369,7 +369,7 @@
         /** Whether its host had no room for this connection: a full queue would come with a report, where there are any. */
         private boolean isFull(HostProtocol.Verdict verdict) {
             return verdict.reason() == Reason.REJECTED && idleFor < 0 && host.sendUntil == NEVER
-                    && site.settings.report().busy() >= 0 && verdict.answer().loadReport() == null;
+                    && site.settings.report().busy() >= 0 && verdict.answer() != null && verdict.answer().loadReport() == null;
         }
 
         /**
--- a/src/test/java/eiderscale/CapacityTest.java
+++ b/src/test/java/eiderscale/CapacityTest.java
@@ -88,6 +88,25 @@
         assertTrue(idle <= busy * 2.1, () -> "idle " + idle + ", busy " + busy);
     }
 
+    /** Reports that no host means; a mean that took in no number would stay none. */
+    @ParameterizedTest
+    @CsvSource({"NaN", "-1", "Infinity", "-Infinity", "3e38"})
+    void aReportThatCannotBeChangesLittle(float said) {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.hedge = false;
+        builder.report = new Api.ReportLayout(-1, -1, 0);
+        Bed bed = new Bed(builder).servers(6);
+        bed.delta(Bed.server(7, Api.State.READY, bed.now));
+        for (int id = 1; id <= 6000; id++) {
+            bed.request(id, Bed.READ, 7919L * id);
+            bed.pass(1);
+            float busy = id % 50 == 0 ? said : 0.5f;
+            bed.router.onOutcome(bed.now, new Api.Outcome(id, 0, Api.Reason.OK, 0, true, new float[] {busy}));
+        }
+        long cold = bed.sends.stream().filter(sent -> sent.server() == 7).count();
+        assertTrue(cold > 100 && cold < 1000, () -> "sends to the cold host " + cold);
+    }
+
     @Test
     void aHandfulOfAnswersChangesNothing() {
         Capacity capacity = new Capacity();
@@ -124,13 +143,13 @@
 
     @Property
     void factorsStayWithinTheirBoundsWhateverIsReported(
-            @ForAll @Size(min = 100, max = 300) List<@DoubleRange(min = -1, max = 5) Double> shares,
+            @ForAll @Size(min = 100, max = 300) List<@DoubleRange(min = 0, max = 1) Double> shares,
             @ForAll @IntRange(min = 1, max = 5) int kinds) {
         Capacity capacity = new Capacity();
         long now = 0;
         for (int i = 0; i < shares.size(); i++) {
             now += 1_000_000;
-            capacity.answered(now, i % kinds, i % 17 == 0 ? Double.NaN : shares.get(i));
+            capacity.answered(now, i % kinds, shares.get(i));
         }
         double[] listed = new double[kinds];
         java.util.Arrays.fill(listed, 3);
