--- a/src/test/java/eiderscale/platform/Programs.java
+++ b/src/test/java/eiderscale/platform/Programs.java
@@ -310,6 +310,12 @@
                 """.formatted(more);
     }
 
+    /** Gives every class so long; for programs started from here on. */
+    void patient(int ms) {
+        settings = settings.replace("\"deadline-ns\":1000000000", "\"deadline-ns\":" + ms + "000000")
+                .replace("\"goal-time-ns\":900000000", "\"goal-time-ns\":" + ms + "000000");
+    }
+
     String json() {
         List<String> targets = new ArrayList<>();
         for (Host host : hosts) {
