A settings file with max-attempts 1.5 is refused by name

Seen: at SIGHUP 1.5 was taken as one attempt. PlatformReader.positive looks for a number of 1 or more, and Settings takes its whole part. Now a number that is not whole is named. Measured: RetuneTest has the case, and what served before serves on.

--- a/src/main/java/eiderscale/config/PlatformReader.java
+++ b/src/main/java/eiderscale/config/PlatformReader.java
@@ -90,7 +90,11 @@
                 throw new ConfigException("'" + at + "effect' is none of retryable, dedup, fragile");
             }
         }
-        positive(Json.get(json, "ceilings", Map.class, Map.of()), "max-attempts", "settings.ceilings.");
+        Map<?, ?> ceilings = Json.get(json, "ceilings", Map.class, Map.of());
+        positive(ceilings, "max-attempts", "settings.ceilings.");
+        if (ceilings.get("max-attempts") instanceof Number most && most.doubleValue() != Math.rint(most.doubleValue())) {
+            throw new ConfigException("'settings.ceilings.max-attempts' is not a whole number: " + most);
+        }
     }
 
     private static void positive(Map<?, ?> object, String name, String at) {
--- a/src/test/java/eiderscale/platform/RetuneTest.java
+++ b/src/test/java/eiderscale/platform/RetuneTest.java
@@ -91,6 +91,7 @@
         {"\"max-attempts\":4", "\"max-attempts\":0", "max-attempts"},
         {"\"max-attempts\":4", "\"max-attempts\":-4", "max-attempts"},
         {"\"max-attempts\":4", "\"max-attempts\":\"four\"", "max-attempts"},
+        {"\"max-attempts\":4", "\"max-attempts\":1.5", "max-attempts"},
         {"\"stop-sending-within-ns\":1000000000,", "", "stop-sending-within-ns"},
         {"\"guarantees\"", "\"guaranties\"", "guarantees"},
         {"\"zones\":[\"a\"]", "\"zones\":[\"b\"]", "zones"},
