The laboratory's auditor judges whatever sends and answers: requests, effects and hosts as it sees them

Need: fleets of real processes are to be judged by the same rules as those in virtual time. The auditor knew World, Call, LabHost and LabBalancer. It is told subjects, effects and targets now (three small interfaces), the time by a clock that it is given, and how much longer limits are.

--- a/src/main/java/eiderscale/lab/Auditor.java
+++ b/src/main/java/eiderscale/lab/Auditor.java
@@ -7,12 +7,69 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 /**
  * Sees only what goes over the wires, and counts where one of the four rules is broken, and where a read was answered by what
- * was fetched before a write that its balancer had acknowledged.
+ * was fetched before a write that its balancer had acknowledged. The laboratory's world and fleets of processes are judged by
+ * the same one. One thread; times in nanoseconds of the clock that it is given.
  */
 public final class Auditor {
+    /** One request as its client sent it. */
+    public interface Subject {
+        /** Its number, another for each try. */
+        long id();
+
+        /** What it is about. */
+        long key();
+
+        /** The number of its class. */
+        int requestClass();
+
+        /** Whether it changes anything. */
+        boolean write();
+
+        /** Until when its client waits. */
+        long deadline();
+
+        /** The number of the balancer that it was sent to. */
+        int balancer();
+
+        /** Whether its balancer had answered it so long ago that nothing of it can be on its way still. */
+        boolean isAnswered();
+
+        /** What its client wants, over all tries. */
+        Effect effect();
+    }
+
+    /** What a client wants done once, whatever becomes of its tries: what the auditor knows of that. */
+    public static class Effect {
+        final long number;
+        int runs;
+        long firstRunAt;
+        boolean doubled;
+
+        /** {@code number}: another for each. */
+        public Effect(long number) {
+            this.number = number;
+        }
+    }
+
+    /** A cache host. */
+    public interface Target {
+        /** Its number. */
+        int number();
+
+        /** What it is called. */
+        String name();
+
+        /** Whether it has started lately and has not all of its speed. */
+        boolean isCold(long now);
+
+        /** Requests that it could do within {@code span} if it went on as it is. */
+        double canDo(long now, long span);
+    }
+
     /** What has been found. {@code examples}: the first few, in words. */
     public record Findings(long lost, long answeredTwice, long doubled, long drained, long cold, long sentAfter, long stale,
                            List<String> examples) {
@@ -23,7 +80,7 @@
     }
 
     /** Each time limit is so much longer, in nanoseconds. */
-    private static final long SLACK = 50_000_000L;
+    public static final long SLACK = 50_000_000L;
     private static final int MOST_EXAMPLES = 10;
     /** Chance: requests beyond the allowance of a cold host that a window may bring. */
     private static final double COLD_SLACK = 8;
@@ -36,11 +93,12 @@
     private record Drain(int balancer, int host) {
     }
 
-    private final World world;
+    private final LongSupplier clock;
+    private final long slack;
     private final Api.Settings settings;
-    private final Map<Call, Boolean> open = new HashMap<>();
+    private final Map<Subject, Boolean> open = new HashMap<>();
     private final Map<Drain, Long> drains = new HashMap<>();
-    private final Map<LabHost, Window> cold = new HashMap<>();
+    private final Map<Target, Window> cold = new HashMap<>();
     private final List<Map<Long, Long>> acknowledged = new ArrayList<>();
     private final List<String> examples = new ArrayList<>();
     private long lost;
@@ -51,8 +109,10 @@
     private long sentAfter;
     private long stale;
 
-    Auditor(World world, Api.Settings settings, int balancers) {
-        this.world = world;
+    /** {@code slack}: how much longer each time limit is, in nanoseconds. */
+    public Auditor(LongSupplier clock, long slack, Api.Settings settings, int balancers) {
+        this.clock = clock;
+        this.slack = slack;
         this.settings = settings;
         for (int i = 0; i < balancers; i++) {
             acknowledged.add(new HashMap<>());
@@ -61,57 +121,59 @@
 
     private void example(String text) {
         if (examples.size() < MOST_EXAMPLES) {
-            examples.add("at " + world.now() / 1_000_000 + " ms: " + text);
+            examples.add("at " + clock.getAsLong() / 1_000_000 + " ms: " + text);
         }
     }
 
     /** A balancer has the last byte of a request. {@code wants}: the version that an answer must have at the least. */
-    long accepted(Call call) {
+    public long accepted(Subject call) {
         open.put(call, true);
-        return call.write ? 0 : acknowledged.get(call.balancer.number).getOrDefault(call.key, 0L);
+        return call.write() ? 0 : acknowledged.get(call.balancer()).getOrDefault(call.key(), 0L);
     }
 
     /** It has written an answer. */
-    void answered(Call call) {
+    public void answered(Subject call) {
         if (open.remove(call) == null) {
             answeredTwice++;
-            example("request " + call.id + " was answered twice, or without having been asked");
+            example("request " + call.id() + " was answered twice, or without having been asked");
         }
-        if (world.now() > call.deadline + SLACK) {
+        if (clock.getAsLong() > call.deadline() + slack) {
             lost++;
-            example("request " + call.id + " was answered " + (world.now() - call.deadline) / 1_000_000 + " ms late");
+            example("request " + call.id() + " was answered " + (clock.getAsLong() - call.deadline()) / 1_000_000 + " ms late");
         }
     }
 
     /** The client has gone away. */
-    void left(Call call) {
+    public void left(Subject call) {
         open.remove(call);
     }
 
-    void readAnswered(Call call, long wanted, long version) {
+    /** A read was answered with that version, where at least {@code wanted} was due. */
+    public void readAnswered(Subject call, long wanted, long version) {
         if (version < wanted) {
             stale++;
-            example("read " + call.id + " of key " + call.key + " got version " + version + " after " + wanted + " was acknowledged");
+            example("read " + call.id() + " of key " + call.key() + " got version " + version + " after " + wanted + " was acknowledged");
         }
     }
 
-    void writeAnswered(Call call, long version) {
-        acknowledged.get(call.balancer.number).merge(call.key, version, Math::max);
+    /** A write was acknowledged as that version. */
+    public void writeAnswered(Subject call, long version) {
+        acknowledged.get(call.balancer()).merge(call.key(), version, Math::max);
     }
 
     /** It has taken effect at a host, or may have. */
-    void ran(Call call) {
-        Api.RequestClass c = settings.classes().get(call.requestClass);
+    public void ran(Subject call) {
+        Api.RequestClass c = settings.classes().get(call.requestClass());
         if (c.effect() == Api.Effect.RETRYABLE) {
             return;
         }
-        Call.Operation operation = call.operation;
+        Effect operation = call.effect();
         operation.runs++;
         if (operation.runs == 1) {
-            operation.firstRunAt = world.now();
+            operation.firstRunAt = clock.getAsLong();
         }
-        long since = world.now() - operation.firstRunAt;
-        boolean twice = operation.runs > 1 && (c.effect() == Api.Effect.FRAGILE || since > c.window() + SLACK);
+        long since = clock.getAsLong() - operation.firstRunAt;
+        boolean twice = operation.runs > 1 && (c.effect() == Api.Effect.FRAGILE || since > c.window() + slack);
         if (twice && !operation.doubled) {
             operation.doubled = true;
             doubled++;
@@ -121,52 +183,52 @@
     }
 
     /** The first byte of a request leaves for a host. */
-    void sent(LabBalancer balancer, Call call, LabHost host) {
-        if (call != null && call.answered) {
+    public void sent(int balancer, Subject call, Target host) {
+        if (call != null && call.isAnswered()) {
             sentAfter++;
-            example("request " + call.id + " went out after its answer");
+            example("request " + call.id() + " went out after its answer");
         }
-        Long told = drains.get(new Drain(balancer.number, host.number));
-        if (told != null && world.now() > told + settings.drainGrace() + SLACK) {
+        Long told = drains.get(new Drain(balancer, host.number()));
+        if (told != null && clock.getAsLong() > told + settings.drainGrace() + slack) {
             drained++;
-            example("a send to " + host.name + ", told to drain " + (world.now() - told) / 1_000_000 + " ms before");
+            example("a send to " + host.name() + ", told to drain " + (clock.getAsLong() - told) / 1_000_000 + " ms before");
         }
-        if (host.isCold(world.now())) {
+        if (host.isCold(clock.getAsLong())) {
             coldSend(host);
         }
     }
 
-    private void coldSend(LabHost host) {
-        long now = world.now();
+    private void coldSend(Target host) {
+        long now = clock.getAsLong();
         Window window = cold.computeIfAbsent(host, any -> new Window());
         window.times.addLast(now);
         while (window.times.peekFirst() <= now - settings.fallTime()) {
             window.times.removeFirst();
         }
-        double can = host.kind.slots() * host.speed(now) * settings.fallTime() / host.kind.work();
+        double can = host.canDo(now, settings.fallTime());
         double most = settings.tipMultiple() * can;
         if (window.times.size() > most + COLD_SLACK + 3 * Math.sqrt(most) && !window.told) {
             window.told = true;
             coldHits++;
-            example(host.name + ", cold, was sent " + window.times.size() + " in " + settings.fallTime() / 1_000_000
+            example(host.name() + ", cold, was sent " + window.times.size() + " in " + settings.fallTime() / 1_000_000
                     + " ms where " + (long) most + " are allowed");
         }
     }
 
     /** A balancer has been told that a host drains, is gone, or is ready. */
-    void told(LabBalancer balancer, LabHost host, Api.State state) {
-        Drain one = new Drain(balancer.number, host.number);
+    public void told(int balancer, Target host, Api.State state) {
+        Drain one = new Drain(balancer, host.number());
         if (state == Api.State.READY) {
             drains.remove(one);
         } else {
-            drains.putIfAbsent(one, world.now());
+            drains.putIfAbsent(one, clock.getAsLong());
         }
     }
 
     /** The end of a run: what is open past its time was lost. */
-    Findings close() {
-        for (Call call : open.keySet()) {
-            if (world.now() > call.deadline + SLACK) {
+    public Findings close() {
+        for (Subject call : open.keySet()) {
+            if (clock.getAsLong() > call.deadline() + slack) {
                 lost++;
             }
         }
--- a/src/main/java/eiderscale/lab/Call.java
+++ b/src/main/java/eiderscale/lab/Call.java
@@ -1,7 +1,7 @@
 package eiderscale.lab;
 
 /** One request of a client as it goes over the wires; a client's retry is another one of the same operation. */
-final class Call {
+final class Call implements Auditor.Subject {
     final long id;
     /** What the client wants done: unsafe ones must run once, however many calls there are. */
     final Operation operation;
@@ -33,9 +33,48 @@
         this.deadline = deadline;
     }
 
-    /** What a client wants, over all its tries. */
-    static final class Operation {
-        final long number;
+    @Override
+    public long id() {
+        return id;
+    }
+
+    @Override
+    public long key() {
+        return key;
+    }
+
+    @Override
+    public int requestClass() {
+        return requestClass;
+    }
+
+    @Override
+    public boolean write() {
+        return write;
+    }
+
+    @Override
+    public long deadline() {
+        return deadline;
+    }
+
+    @Override
+    public int balancer() {
+        return balancer.number;
+    }
+
+    @Override
+    public boolean isAnswered() {
+        return answered;
+    }
+
+    @Override
+    public Auditor.Effect effect() {
+        return operation;
+    }
+
+    /** What a client wants, over all its tries; what the auditor knows of it goes with the last that knows it. */
+    static final class Operation extends Auditor.Effect {
         final int requestClass;
         final int tenant;
         final long key;
@@ -45,13 +84,9 @@
         boolean over;
         /** The end of its time, while it waits to try again. */
         Events.Event timeUp;
-        /** What the auditor knows of it: kept here, so that it goes with the last that knows the operation. */
-        int runs;
-        long firstRunAt;
-        boolean doubled;
 
         Operation(long number, int requestClass, int tenant, long key, boolean write, long begunAt) {
-            this.number = number;
+            super(number);
             this.requestClass = requestClass;
             this.tenant = tenant;
             this.key = key;
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -251,7 +251,7 @@
             if (link == null || link.host != host) {
                 links.put(server.id(), new Link(host));
             }
-            world.auditor.told(this, host, maintenance.seen(server).state());
+            world.auditor.told(number, host, maintenance.seen(server).state());
         }
         ledger.onList(world.now(), mode, told);
     }
@@ -263,7 +263,7 @@
         } else {
             maintenance.putBack(world.now(), host.id);
         }
-        world.auditor.told(this, host, out ? Api.State.DRAINING : host.listed);
+        world.auditor.told(number, host, out ? Api.State.DRAINING : host.listed);
         ledger.retell(world.now(), host.id);
     }
 
@@ -543,7 +543,7 @@
         carrier.written = true;
         world.digest(3, call.id, host.number);
         world.trace(call, host, "goes out from balancer " + number + ", attempt " + carrier.attempt.number());
-        world.auditor.sent(this, asked.flight == null ? call : null, host);
+        world.auditor.sent(number, asked.flight == null ? call : null, host);
         double resets = world.experiment.network().resets();
         if (resets > 0 && luck.nextDouble() < resets) {
             boolean before = luck.nextBoolean();
--- a/src/main/java/eiderscale/lab/LabHost.java
+++ b/src/main/java/eiderscale/lab/LabHost.java
@@ -12,7 +12,7 @@
  * A host: slots, a queue, work by distribution, copies that it keeps, a cold start, and what may be wrong with it. It sees
  * requests and the ends of connections, and nothing of balancers.
  */
-final class LabHost {
+final class LabHost implements Auditor.Target {
     /** How an attempt comes out at the host. */
     interface Answer {
         /** {@code version}: of what was read; {@code hit}: from a copy that was kept. */
@@ -92,10 +92,26 @@
         return age >= kind.warm() ? 1 : kind.cold() + (1 - kind.cold()) * age / kind.warm();
     }
 
-    boolean isCold(long now) {
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public boolean isCold(long now) {
         return speed(now) < 1;
     }
 
+    @Override
+    public double canDo(long now, long span) {
+        return kind.slots() * speed(now) * span / kind.work();
+    }
+
     /** The process ends: what it had is gone, and what was in it is never answered. */
     void die() {
         dead = true;
--- a/src/main/java/eiderscale/lab/World.java
+++ b/src/main/java/eiderscale/lab/World.java
@@ -63,7 +63,7 @@
         this.zones = experiment.zones();
         this.cut = new boolean[zones.size()];
         this.measures = new Measures(experiment.settle(), experiment.length());
-        this.auditor = new Auditor(this, settings.module(), experiment.balancers());
+        this.auditor = new Auditor(events::now, Auditor.SLACK, settings.module(), experiment.balancers());
         this.ledger = new Ledger(this, experiment.ledger());
         this.clientLuck = luck.stream("clients' network");
         int at = 0;
