Fleets of real processes with faults between them, by the laboratory's files and judged by its auditor

Now `fleet run` starts balancers as the deploy file does, with stand-in hosts, a discovery for each and relays between, plays the experiment's injuries (SIGKILL and back, SIGSTOP, cuts, overbooked or silent discovery, cold hosts) and counts by quarters of a second; `fleet compare` plays the same file in virtual time beside it. The laboratory learns balancers that die and come back, and a busy discovery.

--- a/src/main/java/eiderscale/config/Experiment.java
+++ b/src/main/java/eiderscale/config/Experiment.java
@@ -132,6 +132,10 @@
             if ("crowd".equals(injury.text("what")) && root.table("load").whole("connections") == 0) {
                 report.error(injury.path + ".what", "needs connections that can be counted", "load.connections above 0", "load.connections");
             }
+            if (List.of("balancer-kill", "balancer-gone").contains(String.valueOf(injury.text("what")))
+                    && root.table("load").whole("connections") > 0) {
+                report.error(injury.path + ".what", "is not played with clients' connections", "load.connections = 0", "load.connections");
+            }
             if (injury.whole("at") >= root.whole("length")) {
                 report.error(injury.path + ".at", "is after the end", "less than length", "length");
             }
@@ -218,6 +222,11 @@
         return (int) root.table("fleet").whole("balancers");
     }
 
+    /** How long a balancer's process takes until it listens, in virtual time. */
+    public long start() {
+        return root.table("fleet").whole("start");
+    }
+
     /** Attempts a second that one balancer can do, for the planner; 0 if that is not known. */
     public double balancerRate() {
         return root.table("fleet").real("balancer-rate");
--- a/src/main/java/eiderscale/config/LabSpec.java
+++ b/src/main/java/eiderscale/config/LabSpec.java
@@ -21,6 +21,8 @@
             List.of(
                     section("fleet", false, "Balancers and zones.",
                             Key.of("balancers", Type.WHOLE, "How many.").or(2L).within(1, 2000),
+                            Key.of("start", Type.DURATION, "How long a balancer's process takes until it listens, in virtual time; "
+                                    + "real ones take what they take.").or(SECOND).within(0, 60 * SECOND),
                             Key.of("balancer-rate", Type.NUMBER, "Attempts a second that one balancer's cores can do, for the "
                                     + "planner; the laboratory's balancers take no time. Left out: not known.").within(1, 1e9),
                             Key.of("zones", Type.NAMES, "Hosts and balancers are dealt out over them.").or(List.of("a"))
@@ -94,11 +96,14 @@
                                     + "dies and is cold at once; replace: comes back under another id; flush: part of the copies "
                                     + "goes void (factor); grow: factor times as many hosts, cold; ledger-slow: factor times as "
                                     + "long; ledger-down; discovery-down: no change is told; surge: factor times the rate; "
-                                    + "balancer-stall: balancers do nothing; crowd: factor connections at each balancer that say "
+                                    + "balancer-stall: balancers do nothing (part of them); balancer-kill: balancers (part of them) die and "
+                                    + "come back after for, at once without it, knowing nothing; balancer-gone: they never come back; "
+                                    + "discovery-busy: one call in factor is answered; crowd: factor connections at each balancer that say "
                                     + "nothing and come again when they are closed; cut: no way between a zone's hosts and balancers of "
                                     + "other zones.").needed()
                                     .from("kill", "silence", "slow", "half", "fail", "pause", "drain", "offline", "renew", "restart", "replace",
-                                            "flush", "grow", "ledger-slow", "ledger-down", "discovery-down", "surge", "balancer-stall", "cut", "crowd"),
+                                            "flush", "grow", "ledger-slow", "ledger-down", "discovery-down", "surge", "balancer-stall", "balancer-kill", "balancer-gone",
+                                            "discovery-busy", "cut", "crowd"),
                             Key.of("hosts", Type.NAME, "Hosts whose name begins so, such as std-3; left out: all."),
                             Key.of("zone", Type.NAME, "Of this zone only."),
                             Key.of("part", Type.NUMBER, "So much of these, the first of them.").or(1.0).within(0, 1),
--- /dev/null
+++ b/src/main/java/eiderscale/fleet/FleetHost.java
@@ -0,0 +1,109 @@
+package eiderscale.fleet;
+
+import eiderscale.config.Experiment;
+import eiderscale.lab.Auditor;
+import eiderscale.lab.Draws;
+import eiderscale.lab.Luck;
+import eiderscale.standin.HostCommand;
+import eiderscale.standin.Injury;
+import eiderscale.standin.StandInHost;
+import eiderscale.standin.StandInHost.Turn;
+import eiderscale.standin.StandInOrigin;
+import io.netty.channel.EventLoop;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** A stand-in host with the laboratory's model of one: slots, a queue, work by distribution, a cold start. */
+final class FleetHost implements Auditor.Target, AutoCloseable {
+    /** Hears of each command that comes; on the host's loop. */
+    interface Listener {
+        void came(FleetHost host, HostCommand command, boolean runs);
+    }
+
+    final String zone;
+    final Experiment.Hosts kind;
+    final StandInHost server;
+    private final int number;
+    private final String name;
+    private final LongSupplier clock;
+    private final Draws work;
+    private final UniformRandomProvider luck;
+    private final Listener listener;
+    private volatile long coldSince = Long.MIN_VALUE;
+    private volatile double slowness = 1;
+    private volatile double failing;
+    private volatile boolean half;
+    private long count;
+
+    FleetHost(int number, String name, String zone, Experiment.Hosts kind, EventLoop loop, StandInOrigin origin, Luck luck,
+              LongSupplier clock, Listener listener) throws InterruptedException {
+        this.number = number;
+        this.name = name;
+        this.zone = zone;
+        this.kind = kind;
+        this.clock = clock;
+        this.work = new Draws(luck.stream("work of " + name), kind.work(), kind.spread());
+        this.luck = luck.stream("failures of " + name);
+        this.listener = listener;
+        this.server = new StandInHost(loop, origin);
+        server.slots(kind.slots(), kind.queue());
+        server.reports("util");
+        server.script(this::treat);
+    }
+
+    private Turn treat(HostCommand command) {
+        boolean silent = half && ++count % 2 == 0;
+        boolean fails = luck.nextDouble() < Math.max(failing, kind.fails());
+        listener.came(this, command, true);
+        long took = (long) (work.next() * slowness / speed(clock.getAsLong()));
+        return new Turn(silent ? Injury.DROP : fails ? Injury.FAIL : Injury.NONE, 0, took);
+    }
+
+    private double speed(long now) {
+        long age = coldSince == Long.MIN_VALUE ? Long.MAX_VALUE : now - coldSince;
+        return age >= kind.warm() ? 1 : kind.cold() + (1 - kind.cold()) * age / kind.warm();
+    }
+
+    @Override
+    public int number() {
+        return number;
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public boolean isCold(long now) {
+        return speed(now) < 1;
+    }
+
+    @Override
+    public double canDo(long now, long span) {
+        return kind.slots() * speed(now) * span / kind.work();
+    }
+
+    void slow(double factor) {
+        slowness = factor;
+    }
+
+    void failing(double part) {
+        failing = part;
+    }
+
+    void half(boolean is) {
+        half = is;
+    }
+
+    /** Another process stands there, cold. */
+    void start() throws InterruptedException {
+        server.start();
+        coldSince = clock.getAsLong();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- a/src/main/java/eiderscale/lab/Auditor.java
+++ b/src/main/java/eiderscale/lab/Auditor.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -73,6 +74,20 @@
     /** What has been found. {@code examples}: the first few, in words. */
     public record Findings(long lost, long answeredTwice, long doubled, long drained, long cold, long sentAfter, long stale,
                            List<String> examples) {
+        /** What was broken, how often; empty where all rules were kept. */
+        public Map<String, Long> broken() {
+            Map<String, Long> rules = new LinkedHashMap<>();
+            rules.put("lost", lost);
+            rules.put("answered twice", answeredTwice);
+            rules.put("doubled", doubled);
+            rules.put("sent into a drain", drained);
+            rules.put("cold hosts over their allowance", cold);
+            rules.put("sent after the answer", sentAfter);
+            rules.put("older than an acknowledged write", stale);
+            rules.values().removeIf(count -> count == 0);
+            return rules;
+        }
+
         /** Whether all rules were kept. */
         public boolean clean() {
             return lost + answeredTwice + doubled + drained + cold + sentAfter + stale == 0;
@@ -225,6 +240,11 @@
         }
     }
 
+    /** A balancer's process has ended: the one that follows has been told nothing yet. */
+    public void forgets(int balancer) {
+        drains.keySet().removeIf(drain -> drain.balancer == balancer);
+    }
+
     /** The end of a run: what is open past its time was lost. */
     public Findings close() {
         for (Subject call : open.keySet()) {
--- a/src/main/java/eiderscale/lab/Clients.java
+++ b/src/main/java/eiderscale/lab/Clients.java
@@ -15,7 +15,7 @@
 
     /** Arrivals at one balancer. */
     private final class Stream {
-        private final LabBalancer balancer;
+        private final int balancer;
         private final UniformRandomProvider times;
         private final UniformRandomProvider choices;
         private final ZigguratSampler.Exponential pauses;
@@ -24,7 +24,7 @@
         private final long end;
 
         Stream(LabBalancer balancer, String name, double rate, long end) {
-            this.balancer = balancer;
+            this.balancer = balancer.number;
             this.times = world.luck.stream("arrivals " + name);
             this.choices = world.luck.stream("choices " + name);
             this.pauses = ZigguratSampler.Exponential.of(times);
@@ -49,7 +49,7 @@
             long key = popularity != null ? popularity.sample() : 1 + choices.nextLong(load.keys());
             if (comes && !world.isFull()) {
                 int requestClass = mixed(mixDice);
-                begin(balancer, requestClass, tenant(tenantDice), load.hot() > 0 && hotDice < load.hot() ? 0 : key);
+                begin(world.balancers.get(balancer), requestClass, tenant(tenantDice), load.hot() > 0 && hotDice < load.hot() ? 0 : key);
             }
             next();
         }
--- a/src/main/java/eiderscale/lab/Draws.java
+++ b/src/main/java/eiderscale/lab/Draws.java
@@ -6,19 +6,20 @@
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 
 /** Times by distribution: lognormal with a mean and a coefficient of variation, or always the mean. */
-final class Draws {
+public final class Draws {
     private final SharedStateContinuousSampler sampler;
     private final long mean;
 
     /** {@code mean} in nanoseconds; {@code cv}: standard deviation beside the mean. */
-    Draws(UniformRandomProvider luck, long mean, double cv) {
+    public Draws(UniformRandomProvider luck, long mean, double cv) {
         this.mean = mean;
         double variance = Math.log(1 + cv * cv);
         this.sampler = cv == 0 ? null : LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(luck),
                 Math.log(mean) - variance / 2, Math.sqrt(variance));
     }
 
-    long next() {
+    /** The next time, in nanoseconds; above 0. */
+    public long next() {
         return sampler == null ? mean : Math.max(1, (long) sampler.sample());
     }
 }
--- a/src/main/java/eiderscale/lab/Injuries.java
+++ b/src/main/java/eiderscale/lab/Injuries.java
@@ -121,8 +121,13 @@
             }
             case "surge" -> world.clients.surge(world.balancers, "surge " + number, factor,
                     injury.length() == 0 ? world.experiment.length() : world.now() + injury.length());
-            case "balancer-stall" -> world.balancers.subList(0, Math.max(1, (int) Math.round(world.balancers.size() * injury.part())))
-                    .forEach(balancer -> balancer.stall(world.now() + Math.max(1, injury.length())));
+            case "balancer-kill" -> List.copyOf(some(injury)).forEach(balancer -> world.killed(balancer, injury.length()));
+            case "balancer-gone" -> List.copyOf(some(injury)).forEach(balancer -> world.killed(balancer, -1));
+            case "discovery-busy" -> {
+                world.discovery.busy(factor);
+                later(injury, () -> world.discovery.busy(1));
+            }
+            case "balancer-stall" -> some(injury).forEach(balancer -> balancer.stall(world.now() + Math.max(1, injury.length())));
             case "crowd" -> world.balancers.forEach(balancer -> balancer.door().crowd((int) factor,
                     injury.length() == 0 ? world.experiment.length() : world.now() + injury.length()));
             case "cut" -> {
@@ -133,6 +138,10 @@
         }
     }
 
+    private List<LabBalancer> some(Experiment.Injury injury) {
+        return world.balancers.subList(0, Math.max(1, (int) Math.round(world.balancers.size() * injury.part())));
+    }
+
     private void kill(LabHost host) {
         host.die();
         world.balancers.forEach(balancer -> balancer.died(host));
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -183,6 +183,9 @@
     private final Map<Flight<Long, Asked, Good>, Asked> fetches = new IdentityHashMap<>();
     private long joiningAt = Joining.NEVER;
     private long stalledUntil;
+    private boolean dead;
+    /** Requests that clients are owed an answer to. */
+    private final Set<Call> inside = new LinkedHashSet<>();
     private final Door door;
 
     LabBalancer(World world, int number, int zone, Experiment.Settings given, World.Module maker) {
@@ -230,8 +233,31 @@
         stalledUntil = until;
     }
 
-    /** Whether it does nothing at present; the event comes again when it does. */
+    /** Its process ends: its connections are reset, and whoever waits at it sees that. */
+    void die() {
+        dead = true;
+        for (Call call : List.copyOf(inside)) {
+            world.auditor.left(call);
+            call.asked.over = true;
+            call.asked = null;
+            world.events.in(world.clientWay(), () -> world.clients.came(call, Clients.End.FAILED, 0));
+        }
+        inside.clear();
+        for (Link link : links.values()) {
+            wires.closeIdle(link.host.id);
+            for (Carrier carrier : List.copyOf(link.open)) {
+                if (carrier.written) {
+                    abandon(carrier.attempt);
+                }
+            }
+        }
+    }
+
+    /** Whether it does nothing at present, or ever; the event comes again when it does. */
     boolean waits(Runnable event) {
+        if (dead) {
+            return true;
+        }
         if (world.now() < stalledUntil) {
             world.events.at(stalledUntil, event);
             return true;
@@ -242,6 +268,7 @@
     // The list.
 
     void onList(Api.ListMode mode, List<Api.Server> told, Map<Long, LabHost> hosts) {
+        // A process that is gone never hears of it.
         if (waits(() -> onList(mode, told, hosts))) {
             return;
         }
@@ -274,7 +301,17 @@
         if (door != null) {
             door.ask(call);
         } else {
-            world.events.in(world.clientWay(), () -> take(call));
+            world.events.in(world.clientWay(), () -> knock(call));
+        }
+    }
+
+    /** Where nobody listens a connection is refused, and nothing has been taken. */
+    private void knock(Call call) {
+        if (dead) {
+            world.measures.turnedAway(world.now());
+            world.events.in(world.clientWay(), () -> world.clients.came(call, Clients.End.REFUSED, 0));
+        } else {
+            take(call);
         }
     }
 
@@ -303,6 +340,7 @@
         asked.wanted = world.auditor.accepted(call);
         world.measures.call(world.now());
         call.asked = asked;
+        inside.add(call);
         if (!call.write && rules.joins(call.requestClass)) {
             asked.place = joining.ask(world.now(), call.key, "", asked, asked.deadline);
             lookAtJoining();
@@ -326,6 +364,7 @@
             return;
         }
         call.asked = null;
+        inside.remove(call);
         world.auditor.left(call);
         if (asked.place != null && !asked.over) {
             asked.over = true;
@@ -356,6 +395,7 @@
         Call call = asked.call;
         call.answered = true;
         call.asked = null;
+        inside.remove(call);
         world.digest(2, call.id, end.ordinal());
         world.trace(call, null, "is answered: " + end);
         world.auditor.answered(call);
@@ -406,6 +446,9 @@
     }
 
     private void fire(Due timer) {
+        if (dead) {
+            return;
+        }
         if (world.now() < stalledUntil) {
             timer.handle(world.events.at(stalledUntil, () -> fire(timer)));
             return;
@@ -470,6 +513,9 @@
 
     @Override
     public void subscribe() {
+        if (dead) {
+            return;
+        }
         world.discovery.ask(this);
     }
 
--- a/src/main/java/eiderscale/lab/ListService.java
+++ b/src/main/java/eiderscale/lab/ListService.java
@@ -15,12 +15,15 @@
     private final long[] lags;
     private final List<Runnable> held = new ArrayList<>();
     private boolean down;
+    private double busy = 1;
+    private final UniformRandomProvider refusals;
 
     ListService(World world, Experiment.Discovery shape, int balancers) {
         this.world = world;
         this.shape = shape;
         this.lags = new long[balancers];
         UniformRandomProvider luck = world.luck.stream("discovery");
+        this.refusals = world.luck.stream("discovery's refusals");
         for (int i = 0; i < balancers; i++) {
             lags[i] = shape.lag() + (long) (luck.nextDouble() * shape.spread());
         }
@@ -54,7 +57,7 @@
     /** A balancer asks for the list. */
     void ask(LabBalancer balancer) {
         world.events.in(lags[balancer.number], () -> {
-            if (down) {
+            if (down || busy > 1 && refusals.nextDouble() * busy >= 1) {
                 balancer.onList(Api.ListMode.FAILED, List.of(), byId());
             } else {
                 balancer.onList(Api.ListMode.FULL, all(), byId());
@@ -94,6 +97,11 @@
         changed(host, host.id, Api.State.READY);
     }
 
+    /** From now on one call in so many is answered. */
+    void busy(double factor) {
+        busy = factor;
+    }
+
     void down(boolean is) {
         down = is;
         if (!is) {
--- a/src/main/java/eiderscale/lab/RunResult.java
+++ b/src/main/java/eiderscale/lab/RunResult.java
@@ -37,19 +37,7 @@
         if (stuck != null) {
             broken.add("stuck: " + stuck);
         }
-        Map<String, Long> rules = new LinkedHashMap<>();
-        rules.put("lost", findings.lost());
-        rules.put("answered twice", findings.answeredTwice());
-        rules.put("doubled", findings.doubled());
-        rules.put("sent into a drain", findings.drained());
-        rules.put("cold hosts over their allowance", findings.cold());
-        rules.put("sent after the answer", findings.sentAfter());
-        rules.put("older than an acknowledged write", findings.stale());
-        rules.forEach((rule, count) -> {
-            if (count > 0) {
-                broken.add(rule + ": " + count);
-            }
-        });
+        findings.broken().forEach((rule, count) -> broken.add(rule + ": " + count));
         least(broken, "served", served, limits.served());
         least(broken, "worst-second", worstSecond, limits.worstSecond());
         least(broken, "hits", hits, limits.hits());
--- a/src/main/java/eiderscale/lab/World.java
+++ b/src/main/java/eiderscale/lab/World.java
@@ -44,6 +44,7 @@
     /** Whether joining hears of writes; off only where a test plants that fault. */
     boolean tellsWrites = true;
     private final Experiment.Settings settings;
+    private final Module maker;
     private final List<String> zones;
     private final boolean[] cut;
     private final UniformRandomProvider clientLuck;
@@ -59,6 +60,7 @@
         this.experiment = experiment;
         this.injuries = experiment.injuries();
         this.settings = settings;
+        this.maker = maker;
         this.luck = new Luck(seed);
         this.zones = experiment.zones();
         this.cut = new boolean[zones.size()];
@@ -84,6 +86,22 @@
         this(experiment, settings, factor, seed, Router::new);
     }
 
+    /** A balancer's process dies; {@code back}: after how long another one starts under its name, which knows nothing. */
+    void killed(LabBalancer balancer, long back) {
+        balancer.die();
+        auditor.forgets(balancer.number);
+        if (back < 0) {
+            return;
+        }
+        events.in(back + experiment.start(), () -> {
+            if (balancers.get(balancer.number) == balancer) {
+                LabBalancer fresh = new LabBalancer(this, balancer.number, balancer.zone, settings, maker);
+                balancers.set(balancer.number, fresh);
+                discovery.first(fresh);
+            }
+        });
+    }
+
     private LabHost add(Experiment.Hosts kind, String name, int zone) {
         LabHost host = new LabHost(this, name, hosts.size(), kind, zone, Luck.mix(Luck.hash(name)));
         hosts.add(host);
--- a/src/main/java/eiderscale/standin/StandInDiscovery.java
+++ b/src/main/java/eiderscale/standin/StandInDiscovery.java
@@ -24,14 +24,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
-/** A list of hosts on loopback that is asked over HTTP: the whole of it, or a watch on what changes. */
+/**
+ * A list of hosts on loopback that is asked over HTTP: the whole of it, or a watch on what changes. It can be too busy for
+ * some of the calls, or say nothing at all.
+ */
 public final class StandInDiscovery implements AutoCloseable {
     private static final int MOST_REQUEST = 64 * 1024;
     private static final long MOST_WAIT_MS = 60_000;
 
     /** An entry as it is listed, and the version at which it last changed. */
-    private record Entry(String json, long rev) {
+    private record Entry(String json, String state, long rev) {
     }
 
     private record Watch(ChannelHandlerContext ctx, long since) {
@@ -41,8 +46,18 @@
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Channel server;
+    private final AtomicLong calls = new AtomicLong();
+    private volatile BooleanSupplier answers = () -> true;
+    private volatile Told told = (uid, state) -> { };
+    private volatile boolean silent;
     private long rev = 1;
 
+    /** Hears what has been written to whoever asked; on this one's loop. */
+    public interface Told {
+        /** An entry, as it is told. */
+        void told(String uid, String state);
+    }
+
     /** Starts on a free port of loopback. */
     public StandInDiscovery(EventLoop loop) throws InterruptedException {
         this.loop = loop;
@@ -61,13 +76,43 @@
         return "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
     }
 
+    /** From now on calls are answered 503 where this says no; asked on this one's loop, once a call. */
+    public void answers(BooleanSupplier each) {
+        answers = each;
+    }
+
+    /** From now on calls get no answer and watches hear nothing, or they do again. */
+    public void silent(boolean is) throws InterruptedException {
+        silent = is;
+        loop.submit(() -> {
+            List<Watch> waiting = new ArrayList<>(watches);
+            watches.clear();
+            waiting.forEach(this::tell);
+        }).sync();
+    }
+
+    /** From now on this one hears what is told. */
+    public void onTold(Told listener) {
+        told = listener;
+    }
+
+    /** Calls that came. */
+    public long calls() {
+        return calls.get();
+    }
+
     /** Lists a host, or lists it anew; {@code state}: Ready, Terminating or Gone. {@code bootMs}: Unix time or 0. */
     public void put(String uid, String endpoint, String state, long bootMs) throws InterruptedException {
+        put(uid, endpoint, "a", state, bootMs);
+    }
+
+    /** The same in a zone. */
+    public void put(String uid, String endpoint, String zone, String state, long bootMs) throws InterruptedException {
         loop.submit(() -> {
             rev++;
             entries.put(uid, new Entry("{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint
-                    + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":0,\"state\":\"" + state
-                    + "\",\"capacity_hint\":1.0,\"boot_ms\":" + bootMs + "}", rev));
+                    + "\",\"az\":\"" + zone + "\",\"model\":\"m\",\"pod_group\":0,\"state\":\"" + state
+                    + "\",\"capacity_hint\":1.0,\"boot_ms\":" + bootMs + "}", state, rev));
             List<Watch> waiting = new ArrayList<>(watches);
             watches.clear();
             waiting.forEach(this::tell);
@@ -76,6 +121,10 @@
 
     /** A call with a version gets what has changed since; one without gets the whole list. */
     private void tell(Watch watch) {
+        if (silent) {
+            watches.add(watch);
+            return;
+        }
         boolean all = watch.since < 0;
         List<String> targets = new ArrayList<>();
         for (Entry entry : entries.values()) {
@@ -83,6 +132,11 @@
                 targets.add(entry.json);
             }
         }
+        entries.forEach((uid, entry) -> {
+            if (entry.rev > watch.since) {
+                told.told(uid, entry.state);
+            }
+        });
         answer(watch.ctx, HttpResponseStatus.OK, "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":["
                 + String.join(",", targets) + "]}");
     }
@@ -103,6 +157,11 @@
                 answer(ctx, HttpResponseStatus.NOT_FOUND, "{}");
                 return;
             }
+            calls.incrementAndGet();
+            if (!answers.getAsBoolean()) {
+                answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "{}");
+                return;
+            }
             long since = number(uri, "since", -1);
             Watch watch = new Watch(ctx, since);
             if (since < 0 || since < rev) {
--- a/src/main/java/eiderscale/standin/StandInHost.java
+++ b/src/main/java/eiderscale/standin/StandInHost.java
@@ -41,6 +41,7 @@
     private static final int MOST_LINE = 4096;
     private static final int MOST_KEPT = 10_000;
     private static final int MOST_COUNTED = 200_000;
+    private static final double BUSY_NS = 300e6;
 
     private final StandInOrigin origin;
     private final Map<String, String> kept = new LinkedHashMap<>();
@@ -53,6 +54,10 @@
     private long[] slots = {};
     private int most;
     private int inside;
+    /** The part of its slots that is taken, as it was lately, and when that was. */
+    private double busy;
+    private long busyAt;
+    private String field;
 
     /** Starts on a free port of loopback. */
     public StandInHost(EventLoop loop, StandInOrigin origin) throws InterruptedException {
@@ -95,11 +100,32 @@
         }
         long now = System.nanoTime();
         slots[first] = Math.max(now, slots[first]) + turn.delayNanos();
+        lookAtSlots();
         inside++;
-        loop.schedule(() -> inside--, slots[first] - now, TimeUnit.NANOSECONDS);
+        loop.schedule(() -> {
+            lookAtSlots();
+            inside--;
+        }, slots[first] - now, TimeUnit.NANOSECONDS);
         return new Turn(turn.injury(), 0, slots[first] - now);
     }
 
+    /** From now on answers tell in this field of a load report how busy its slots have been lately; they are to be set. */
+    public void reports(String name) {
+        loop.submit(() -> field = name).syncUninterruptibly();
+    }
+
+    /** A mean over time in which what is older counts less. */
+    private void lookAtSlots() {
+        long now = System.nanoTime();
+        double kept = Math.exp(-(now - busyAt) / BUSY_NS);
+        busy = busy * kept + (1 - kept) * Math.min(1.0, inside / (double) slots.length);
+        busyAt = now;
+    }
+
+    private String report() {
+        return field == null ? "" : String.format(java.util.Locale.ROOT, " L%s=%.2f", field, busy);
+    }
+
     /** From now on commands are treated so; called on the host's loop. */
     public void script(Function<HostCommand, Turn> treatment) {
         script = treatment;
@@ -183,7 +209,7 @@
             boolean far = turn.injury().runs && (command.write() || !kept.containsKey(command.key()));
             long now = System.nanoTime();
             long ready = (far ? origin.done(now) : now) + turn.delayNanos();
-            String answer = turn.injury().runs ? run(command, ready - now) : "SERVER_ERROR busy\r\n";
+            String answer = turn.injury().runs ? run(command, ready - now) : "SERVER_ERROR busy" + report() + "\r\n";
             long due = Math.max(free, ready);
             free = due;
             if (due <= now) {
@@ -239,7 +265,7 @@
                     }, afterNanos, TimeUnit.NANOSECONDS);
                 }
             }
-            return "VA " + value.length() + " O" + command.id() + (hit ? " h1" : " h0") + "\r\n" + value + "\r\n";
+            return "VA " + value.length() + " O" + command.id() + (hit ? " h1" : " h0") + report() + "\r\n" + value + "\r\n";
         }
         String key = command.figures().get("k");
         String receipt = key == null ? null : receipts.get(key);
@@ -251,7 +277,7 @@
                 keep(receipts, key, receipt);
             }
         }
-        return "HD O" + command.id() + " c" + receipt + "\r\n";
+        return "HD O" + command.id() + " c" + receipt + report() + "\r\n";
     }
 
     private static void keep(Map<String, String> map, String key, String value) {
--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -145,6 +145,12 @@
     static final ArchRule JOINING_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale.joining").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.joining"))));
 
+    /** Processes are met from outside: what runs them knows files, the laboratory and stand-ins, and nothing of the sockets inside. */
+    @ArchTest
+    static final ArchRule THE_FLEET_KNOWS_ITS_PROCESSES_FROM_OUTSIDE = noClasses().that().resideInAPackage("eiderscale.fleet").should()
+            .dependOnClassesThat().resideInAnyPackage("eiderscale.net", "eiderscale.meta", "eiderscale.http..", "eiderscale.platform",
+            "eiderscale.sidecar", "eiderscale.ledger", "eiderscale.cli");
+
     @ArchTest
     static final ArchRule ONLY_THE_STORE_KNOWS_CAFFEINE = noClasses().that().doNotHaveSimpleName("Store").should()
             .dependOnClassesThat().resideInAnyPackage("com.github.benmanes..");
--- /dev/null
+++ b/src/test/java/eiderscale/fleet/ComingBackTest.java
@@ -0,0 +1,144 @@
+package eiderscale.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Several processes of the program with faults between them: what the auditor sees must hold whatever the machine's speed. */
+class ComingBackTest {
+    private static final String FLEET = """
+            length = "5s"
+            settle = "500ms"
+            [fleet]
+            balancers = 4
+            zones = ["a", "b"]
+            [[hosts]]
+            count = 6
+            warm = "4s"
+            [load]
+            rate = 120.0
+            keys = 500
+            retries = 3
+            [[mix]]
+            class = "view-statement"
+            share = 0.8
+            [[mix]]
+            class = "request-copy"
+            share = 0.1
+            [[mix]]
+            class = "update-nominee"
+            share = 0.1
+            """;
+
+    @TempDir
+    Path folder;
+
+    /** Three of four die, hosts are cold in the same moment, and one that comes back dies once more; some hosts drain meanwhile. */
+    @Test
+    void mostDieTwiceWhileHostsAreColdAndDrain() throws Exception {
+        FleetResult result = Played.of(FLEET + """
+                [[injuries]]
+                at = "1s"
+                what = "balancer-kill"
+                part = 0.75
+                [[injuries]]
+                at = "1s"
+                what = "restart"
+                hosts = "host-0"
+                [[injuries]]
+                at = "1s"
+                what = "drain"
+                hosts = "host-1"
+                [[injuries]]
+                at = "2500ms"
+                what = "balancer-kill"
+                part = 0.25
+                """).onProcesses(folder);
+        assertTrue(result.served() > 0.2, () -> result.text(true));
+    }
+
+    /** All die, none is left to learn from, and discovery answers one call in three. */
+    @Test
+    void allDieWhileDiscoveryIsOverbooked() throws Exception {
+        FleetResult result = Played.of(FLEET + """
+                [[injuries]]
+                at = "800ms"
+                what = "discovery-busy"
+                factor = 3.0
+                [[injuries]]
+                at = "1s"
+                for = "200ms"
+                what = "balancer-kill"
+                """).onProcesses(folder);
+        Tally tally = result.tally();
+        int last = tally.windows() - 1;
+        assertTrue(tally.sum(Tally.Of.SERVED, last - 8, last) > 0, () -> result.text(true));
+    }
+
+    /** Half stand still for two seconds while a host is taken away: nothing of theirs goes there after they wake. */
+    @Test
+    void halfStandStillWhileAHostDrains() throws Exception {
+        Played.of(FLEET + """
+                [[injuries]]
+                at = "1s"
+                for = "2s"
+                what = "balancer-stall"
+                part = 0.5
+                [[injuries]]
+                at = "1500ms"
+                what = "drain"
+                hosts = "host-2"
+                """).onProcesses(folder);
+    }
+
+    /** A zone is cut off from the other for two seconds; what is there serves on. */
+    @Test
+    void zonesAreCutFromEachOther() throws Exception {
+        FleetResult result = Played.of(FLEET + """
+                [[injuries]]
+                at = "1s"
+                for = "2s"
+                what = "cut"
+                zone = "b"
+                [[injuries]]
+                at = "2s"
+                what = "balancer-gone"
+                part = 0.25
+                """).onProcesses(folder);
+        assertTrue(result.served() > 0.2, () -> result.text(true));
+    }
+
+    /** The same file in virtual time breaks no rule either, whatever the seed. */
+    @Test
+    void theLaboratoryPlaysTheSame() throws Exception {
+        Played played = Played.of(FLEET + """
+                [[injuries]]
+                at = "1s"
+                what = "balancer-kill"
+                part = 0.75
+                [[injuries]]
+                at = "1s"
+                what = "restart"
+                [[injuries]]
+                at = "2500ms"
+                what = "drain"
+                hosts = "host-1"
+                [[injuries]]
+                at = "2500ms"
+                for = "3s"
+                what = "discovery-busy"
+                factor = 5.0
+                [[injuries]]
+                at = "2500ms"
+                what = "balancer-kill"
+                part = 0.25
+                """);
+        for (long seed = 1; seed <= 40; seed++) {
+            played.inVirtualTime(seed);
+        }
+        assertEquals(played.inVirtualTime(7).digest(), played.inVirtualTime(7).digest());
+    }
+}
