Hosts that have no origin behind them have no fills: a failed store there sheds nothing

At fault was the place of that mend: Admission.fillResult serves hosts that read through, where one failed write is a sign of a full origin. Memcached has none; its writes should not have been told as fills by Router.learn at all. MOST_FILLS is taken back, and Router.learn tells fills only where keys live on several hosts, as hosts that read through have it (Api.Settings.candidates).

--- a/src/main/java/eiderscale/Admission.java
+++ b/src/main/java/eiderscale/Admission.java
@@ -10,8 +10,6 @@
     private static final double FILL_CUT = 0.64;
     private static final double FILL_GROWTH = 1.25;
     private static final double LEAST_FILLS = 0.1;
-    /** Saved up while fills go well: a single failed one then turns nobody away. */
-    private static final double MOST_FILLS = 1 / FILL_CUT;
     /** What a sign does to the share admitted: more for a balancer that sees few, within these limits. */
     private static final double LEAST_STEP = 0.02;
     private static final double MOST_STEP = 0.15;
@@ -30,7 +28,7 @@
     private static final double MOST_FETCH = 0.2;
 
     private final Settings settings;
-    double fills = MOST_FILLS;
+    double fills = 1;
     double admitted = 1;
     long loadAt;
     /** Mean time that an ordered request keeps its key. */
@@ -130,7 +128,7 @@
 
     /** A read or write that needed the origin ended. */
     void fillResult(boolean failed) {
-        fills = failed ? Math.max(LEAST_FILLS, fills * FILL_CUT) : Math.min(MOST_FILLS, fills * FILL_GROWTH);
+        fills = failed ? Math.max(LEAST_FILLS, fills * FILL_CUT) : Math.min(1, fills * FILL_GROWTH);
     }
 
 }
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -461,8 +461,9 @@
         if (health.isOrigin(attempt.host) && reason != Reason.CANCELLED) {
             // Late counts as failed: guards against a queue that makes every fetch late.
             admission.fillResult(reason != Reason.OK || took > flight.requestClass.aim());
-        } else if (!settings.aside() && flight.request.write()
-                && (reason == Reason.ERROR || reason == Reason.OK)) { // a time-out tells nothing
+        } else if (!settings.aside() && settings.candidates() > 1 && flight.request.write()
+                && (reason == Reason.ERROR || reason == Reason.OK)) {
+            // A time-out tells nothing, nor does a host that has no origin behind it.
             admission.fillResult(reason != Reason.OK);
         }
     }
