--- a/src/main/java/eiderscale/platform/Main.java
+++ b/src/main/java/eiderscale/platform/Main.java
@@ -25,32 +25,15 @@
     private Main() {
     }
 
+    /** A balancer that serves; {@code control}: null where operators cannot call. */
+    record Running(Config config, EventLoop loop, Duty duty, SocketAddress bound, SocketAddress control) {
+    }
+
     /** Takes no arguments; {@code GW_CONFIG} names the configuration. */
     public static void main(String[] args) {
         try {
-            Hangup hangup = Hangup.install();
-            LibraryLog.install();
-            ConfigFile file = new ConfigFile(System.getenv("GW_CONFIG"));
-            Config config = file.config();
-            EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
-            Path folder = folder();
-            Succession succession = Succession.enter(folder, config.name());
-            Node node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind))).get();
-            Knowledge told = Duty.ask(succession, config.name(), config.seed());
-            Duty duty = loop.submit(() -> Duty.take(List.of(node), config.name(), succession, told)).get();
-            // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(duty, loop), "stop"));
-            if (folder != null) {
-                // Without it nothing could be handed over, and a second process would only take half of the clients.
-                node.share();
-            }
-            SocketAddress bound = loop.submit(node::start).get().sync().channel().localAddress();
-            if (config.control() != null) {
-                Counters.log("operators call " + loop.submit(() -> new ControlServer(loop, duty).listen(config.control())).get().sync()
-                        .channel().localAddress());
-            }
-            hangup.serve(() -> loop.execute(() -> reload(node, file)));
-            Counters.log(config.name() + " serves on " + bound);
+            Running running = begin(System.getenv("GW_CONFIG"), folder());
+            Counters.log(running.config.name() + " serves on " + running.bound);
         } catch (ConfigException e) {
             Counters.log(e.getMessage());
             Runtime.getRuntime().halt(1);
@@ -60,6 +43,33 @@
         }
     }
 
+    /** All that a process does until it serves; {@code folder}: what processes of this balancer share, or null. */
+    static Running begin(String path, Path folder) throws Exception {
+        Hangup hangup = Hangup.install();
+        LibraryLog.install();
+        ConfigFile file = new ConfigFile(path);
+        Config config = file.config();
+        EventLoop loop = new NioEventLoopGroup(1, new DefaultThreadFactory("loop")).next();
+        Succession succession = Succession.enter(folder, config.name());
+        Node node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind))).get();
+        Knowledge told = Duty.ask(succession, config.name(), config.seed());
+        Duty duty = loop.submit(() -> Duty.take(List.of(node), config.name(), succession, told)).get();
+        // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(duty, loop), "stop"));
+        if (folder != null) {
+            // Without it nothing could be handed over, and a second process would only take half of the clients.
+            node.share();
+        }
+        SocketAddress bound = loop.submit(node::start).get().sync().channel().localAddress();
+        SocketAddress control = null;
+        if (config.control() != null) {
+            control = loop.submit(() -> new ControlServer(loop, duty).listen(config.control())).get().sync().channel().localAddress();
+            Counters.log("operators call " + control);
+        }
+        hangup.serve(() -> loop.execute(() -> reload(node, file)));
+        return new Running(config, loop, duty, bound, control);
+    }
+
     /** Reads the configuration again; one that cannot be used changes nothing. */
     static void reload(Node node, ConfigFile file) {
         try {
--- a/src/main/java/eiderscale/platform/Rehearsal.java
+++ b/src/main/java/eiderscale/platform/Rehearsal.java
@@ -1,12 +1,6 @@
 package eiderscale.platform;
 
-import eiderscale.config.Config;
-import eiderscale.config.PlatformReader;
-import eiderscale.meta.MetaProtocol;
 import eiderscale.net.Counters;
-import eiderscale.net.Node;
-import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -16,17 +10,21 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.stream.Stream;
 
 /**
- * Plays a balancer's life once, on loopback, with a host and a discovery of its own. The build runs it to
- * archive the classes that this loads ({@code -XX:ArchiveClassesAtExit}): without the archive a start costs
+ * Plays a balancer's life once, on loopback, with a host and a discovery of its own, from the same beginning as the program's. The
+ * build runs it to archive the classes that this loads ({@code -XX:ArchiveClassesAtExit}): without the archive a start costs
  * twice the CPU and the first requests wait for class loading, on a small share of a core for too long.
  */
 public final class Rehearsal {
     private static final int READS = 50;
     private static final int LIMIT_MS = 20_000;
     private static final String CONFIG = """
-            {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","seed":"1",
+            {"name":"rehearsal","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","seed":"1",
              "known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:%2$d","az":"a",
                "model":"m","pod_group":1,"state":"Ready","capacity_hint":1.0,"boot_ms":0}]},
              "settings":{"categories":[
@@ -50,25 +48,36 @@
     public static void main(String[] args) throws Exception {
         int answers = play();
         Counters.log("rehearsed with " + answers + " answers");
+        // The balancer's hook has nothing left to do, and the archive is written all the same.
         System.exit(0);
     }
 
     /** Returns how many commands were answered as they should be. */
     static int play() throws Exception {
-        NioEventLoopGroup group = new NioEventLoopGroup(1);
-        EventLoop loop = group.next();
+        Path folder = Files.createTempDirectory("rehearsal");
         try (ServerSocket discovery = peer(Rehearsal::list); ServerSocket host = peer(Rehearsal::serve)) {
-            byte[] json = String.format(CONFIG, discovery.getLocalPort(), host.getLocalPort())
-                    .getBytes(StandardCharsets.UTF_8);
-            Config config = PlatformReader.config(json);
-            Node node = loop.submit(() -> new Node(config, loop, new MetaProtocol(config.site().hostKind))).get();
-            InetSocketAddress address = (InetSocketAddress) loop.submit(node::start).get().sync().channel()
-                    .localAddress();
-            int answers = ask(address);
-            loop.submit(node::stop).get().sync();
+            Path file = Files.writeString(folder.resolve("config.json"), String.format(CONFIG, discovery.getLocalPort(),
+                    host.getLocalPort()));
+            Main.Running running = Main.begin(file.toString(), folder);
+            int answers = ask((InetSocketAddress) running.bound()) + called((InetSocketAddress) running.control());
+            running.loop().submit(() -> running.duty().stop(running.loop())).get().await();
             return answers;
         } finally {
-            group.shutdownGracefully().sync();
+            try (Stream<Path> all = Files.walk(folder)) {
+                for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(path);
+                }
+            }
+        }
+    }
+
+    /** An operator's call. */
+    private static int called(InetSocketAddress control) throws IOException {
+        try (Socket operator = new Socket(control.getAddress(), control.getPort())) {
+            operator.setSoTimeout(LIMIT_MS);
+            operator.getOutputStream().write("HEALTH\n".getBytes(StandardCharsets.US_ASCII));
+            String answer = reader(operator).readLine();
+            return answer != null && answer.startsWith("200") ? 1 : 0;
         }
     }
 
--- a/src/test/java/eiderscale/platform/RehearsalTest.java
+++ b/src/test/java/eiderscale/platform/RehearsalTest.java
@@ -8,6 +8,6 @@
 class RehearsalTest {
     @Test
     void everyCommandOfTheRehearsalIsAnswered() throws Exception {
-        assertEquals(54, Rehearsal.play());
+        assertEquals(55, Rehearsal.play());
     }
 }
