The rig tells commands that run from those turned away, counts work in vain, writes balancers' logs

Seen: after SIGSTOP of half of the balancers for 5 s the auditor told 12 to 48 unsafe operations as done twice, 3 to 40 ms apart. Checked: what their hosts did with the first of the two. Ruled out: the client's own repeat on a closed connection, the program. At fault was the rig: FleetHost told a command as run when it came, also where the host's queue was full and it was turned away, which a client may repeat after `busy`. What a stopped machine answers late is nobody's fault.

Tried against these and not kept: taking what is read right behind a standstill to be as old as it. A client that has given up has closed its connection, behind its request: to be tried is to look at that first.

--- a/src/main/java/eiderscale/cli/FleetCommand.java
+++ b/src/main/java/eiderscale/cli/FleetCommand.java
@@ -43,6 +43,8 @@
         private String variant;
         @Option(names = "--seed", paramLabel = "N", description = "Default: the file's first.")
         private Long seed;
+        @Option(names = "--logs", paramLabel = "FOLDER", description = "Writes what each balancer's last process said there.")
+        private Path logs;
 
         Bench bench() throws IOException {
             return new Bench(file);
@@ -56,7 +58,12 @@
             Experiment.Variant chosen = bench.variant(variant);
             Path folder = Files.createTempDirectory("fleet");
             try {
-                return new FleetRun(bench.experiment(), bench.settings(chosen), Machine.Program.here(), folder, seed(bench)).run();
+                FleetRun run = new FleetRun(bench.experiment(), bench.settings(chosen), Machine.Program.here(), folder, seed(bench));
+                FleetResult result = run.run();
+                if (logs != null) {
+                    run.writeLogs(logs);
+                }
+                return result;
             } finally {
                 try (Stream<Path> all = Files.walk(folder)) {
                     for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/eiderscale/fleet/FleetHost.java
+++ b/src/main/java/eiderscale/fleet/FleetHost.java
@@ -15,9 +15,9 @@
 
 /** A stand-in host with the laboratory's model of one: slots, a queue, work by distribution, a cold start. */
 final class FleetHost implements Auditor.Target, AutoCloseable {
-    /** Hears of each command that comes; on the host's loop. */
+    /** Hears of each command, on the host's loop: when it comes, and once more if it runs. */
     interface Listener {
-        void came(FleetHost host, HostCommand command, boolean runs);
+        void heard(FleetHost host, HostCommand command, boolean runs);
     }
 
     final String zone;
@@ -49,12 +49,13 @@
         server.slots(kind.slots(), kind.queue());
         server.reports("util");
         server.script(this::treat);
+        server.onRun(command -> listener.heard(this, command, true));
     }
 
     private Turn treat(HostCommand command) {
         boolean silent = half && ++count % 2 == 0;
         boolean fails = luck.nextDouble() < Math.max(failing, kind.fails());
-        listener.came(this, command, true);
+        listener.heard(this, command, false);
         long took = (long) (work.next() * slowness / speed(clock.getAsLong()));
         return new Turn(silent ? Injury.DROP : fails ? Injury.FAIL : Injury.NONE, 0, took);
     }
--- a/src/main/java/eiderscale/fleet/FleetLoad.java
+++ b/src/main/java/eiderscale/fleet/FleetLoad.java
@@ -342,18 +342,26 @@
         }
     }
 
-    /** A command has come to a host; from any thread. */
-    void sent(String id, FleetHost host) {
+    /** A command has come to a host, or runs there; from any thread. */
+    void heard(String id, FleetHost host, boolean runs) {
         loop.execute(() -> {
+            Try one = id.matches("[0-9]{1,18}") ? tries.get(Long.parseLong(id)) : null;
+            if (runs) {
+                if (one != null) {
+                    auditor.ran(one);
+                }
+                return;
+            }
             long at = now();
             tally.add(Tally.Of.SENDS, at, 1);
             if (host.isCold(at)) {
                 tally.add(Tally.Of.COLD_SENDS, at, 1);
             }
-            Try one = id.matches("[0-9]{1,18}") ? tries.get(Long.parseLong(id)) : null;
             if (one != null) {
+                if (at > one.operation.deadline) {
+                    tally.add(Tally.Of.IN_VAIN, at, 1);
+                }
                 auditor.sent(one.door.number, one, host);
-                auditor.ran(one);
             }
         });
     }
@@ -454,7 +462,12 @@
             current = null;
             long at = now();
             one.answeredAt = at;
-            auditor.answered(one);
+            if (door.excusedUntil >= one.operation.begunAt && at > one.operation.deadline) {
+                // Late by the doing of whoever stopped its machine.
+                auditor.left(one);
+            } else {
+                auditor.answered(one);
+            }
             if (how == 'S') {
                 door.servedAt = door.servedAt < 0 ? at : door.servedAt;
                 one.ended = true;
--- a/src/main/java/eiderscale/fleet/FleetResult.java
+++ b/src/main/java/eiderscale/fleet/FleetResult.java
@@ -78,6 +78,10 @@
         events.forEach(event -> text.append(event).append('\n'));
         text.append(String.format(Locale.ROOT, "served %.4f of %d operations, p50 %.1f ms, p99 %.1f ms%n", served(), operations,
                 tally.quantile(0.5, 0, tally.windows()), tally.quantile(0.99, 0, tally.windows())));
+        double inVain = tally.sum(Of.IN_VAIN, 0, tally.windows());
+        if (inVain > 0) {
+            text.append(String.format(Locale.ROOT, "%.0f attempts reached hosts after their client's time was over%n", inVain));
+        }
         if (!lives.isEmpty()) {
             double[] first = lives.stream().filter(life -> life.servesAt() >= 0)
                     .mapToDouble(life -> (life.servesAt() - life.listensAt()) / 1e6).sorted().toArray();
--- a/src/main/java/eiderscale/fleet/FleetRun.java
+++ b/src/main/java/eiderscale/fleet/FleetRun.java
@@ -164,6 +164,14 @@
         return new FleetResult(experiment, operations, load.served(), findings[0], tally, List.copyOf(lives), List.copyOf(events), wrong);
     }
 
+    /** What each balancer's last process said, as far as it is kept: a file for each. */
+    public void writeLogs(Path to) throws IOException {
+        Files.createDirectories(to);
+        for (int i = 0; i < machines.size(); i++) {
+            Files.write(to.resolve("n" + i + ".log"), machines.get(i).child().log());
+        }
+    }
+
     private static String tail(Child child) {
         List<String> log = child.log();
         return String.join(" / ", log.subList(Math.max(0, log.size() - 5), log.size()));
@@ -187,7 +195,7 @@
                 FleetHost host = new FleetHost(hosts.size(), kind.kind() + "-" + i, zones.get(hosts.size() % zones.size()), kind, hostLoop,
                         ledger, luck, this::now, (one, command, runs) -> {
                             if (load != null) {
-                                load.sent(command.id(), one);
+                                load.heard(command.id(), one, runs);
                             }
                         });
                 hosts.add(host);
--- a/src/main/java/eiderscale/fleet/Tally.java
+++ b/src/main/java/eiderscale/fleet/Tally.java
@@ -18,6 +18,8 @@
         SHUT,
         /** Attempts that reached hosts, those at cold ones, and what these could have done. */
         SENDS, COLD_SENDS, COLD_ROOM,
+        /** Attempts that reached hosts after their client's time was over. */
+        IN_VAIN,
         /** Connections that hosts accepted, and calls that discovery got. */
         OPENED, CALLS,
         /** Processor time of all balancers, in milliseconds. */
