--- a/src/test/java/eiderscale/fleet/ComingBackTest.java
+++ b/src/test/java/eiderscale/fleet/ComingBackTest.java
@@ -1,8 +1,10 @@
 package eiderscale.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import eiderscale.config.ConfigException;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -111,6 +113,18 @@
         assertTrue(result.served() > 0.2, () -> result.text(true));
     }
 
+    /** What has no meaning for processes is refused by name, before anything starts. */
+    @Test
+    void whatCannotBePlayedIsNamed() throws Exception {
+        Played played = Played.of(FLEET + """
+                [[injuries]]
+                at = "1s"
+                what = "ledger-down"
+                """);
+        ConfigException thrown = assertThrows(ConfigException.class, () -> played.onProcesses(folder));
+        assertTrue(thrown.getMessage().contains("'ledger-down'"), thrown.getMessage());
+    }
+
     /** The same file in virtual time breaks no rule either, whatever the seed. */
     @Test
     void theLaboratoryPlaysTheSame() throws Exception {
