Read over: one model of cold hosts and of whom an injury meets; a variant's load counts

The first two stand in Experiment now, the variant's factor is handed on, other shapes are refused by name, and the page says what of a file is not played.

Measured: the laboratory's, fleet's and architecture's tests green.

--- a/src/main/java/eiderscale/cli/FleetCommand.java
+++ b/src/main/java/eiderscale/cli/FleetCommand.java
@@ -58,7 +58,8 @@
             Experiment.Variant chosen = bench.variant(variant);
             Path folder = Files.createTempDirectory("fleet");
             try {
-                FleetRun run = new FleetRun(bench.experiment(), bench.settings(chosen), Machine.Program.here(), folder, seed(bench));
+                FleetRun run = new FleetRun(bench.experiment(), bench.settings(chosen), chosen.load(), Machine.Program.here(), folder,
+                        seed(bench));
                 FleetResult result = run.run();
                 if (logs != null) {
                     run.writeLogs(logs);
--- a/src/main/java/eiderscale/config/Experiment.java
+++ b/src/main/java/eiderscale/config/Experiment.java
@@ -15,6 +15,15 @@
     /** Hosts of one kind. */
     public record Hosts(String kind, int count, int slots, int queue, long work, double spread, int keeps, double weight,
                         double cold, long warm, int connections, double fails, double cost) {
+        /** The part of its speed that one has so long after its start, from its cold share to 1. */
+        public double speed(long age) {
+            return age >= warm ? 1 : cold + (1 - cold) * age / warm;
+        }
+
+        /** Requests that one could do within {@code span} at that part of its speed. */
+        public double canDo(double speed, long span) {
+            return slots * speed * span / work;
+        }
     }
 
     /** What stands behind hosts that keep copies. */
@@ -43,6 +52,17 @@
 
     /** What goes wrong. {@code length}: 0 for good; {@code hosts}, {@code zone}: null for any. */
     public record Injury(long at, long length, String what, String hosts, String zone, double part, double factor) {
+        /** Whether it is meant for this host, as far as names tell. */
+        public boolean names(String host, String hostZone) {
+            boolean named = hosts == null || host.equals(hosts) || host.startsWith(hosts.endsWith("-") ? hosts : hosts + "-");
+            return named && (zone == null || zone.equals(hostZone));
+        }
+
+        /** How many of so many it meets, the first of them: at least one. */
+        public int meets(int found) {
+            return Math.min(found, Math.max(1, (int) Math.round(found * part)));
+        }
+
         /** In one line, as a file would say it. */
         public String text() {
             return "at " + Type.DURATION.format(at) + (length > 0 ? " for " + Type.DURATION.format(length) : "") + " " + what
--- a/src/main/java/eiderscale/fleet/FleetHost.java
+++ b/src/main/java/eiderscale/fleet/FleetHost.java
@@ -62,7 +62,7 @@
 
     private double speed(long now) {
         long age = coldSince == Long.MIN_VALUE ? Long.MAX_VALUE : now - coldSince;
-        return age >= kind.warm() ? 1 : kind.cold() + (1 - kind.cold()) * age / kind.warm();
+        return kind.speed(age);
     }
 
     @Override
@@ -82,7 +82,7 @@
 
     @Override
     public double canDo(long now, long span) {
-        return kind.slots() * speed(now) * span / kind.work();
+        return kind.canDo(speed(now), span);
     }
 
     void slow(double factor) {
--- a/src/main/java/eiderscale/fleet/FleetLoad.java
+++ b/src/main/java/eiderscale/fleet/FleetLoad.java
@@ -145,6 +145,7 @@
     }
 
     private final Experiment.Load load;
+    private final double rate;
     private final Api.Settings settings;
     private final List<String> classes;
     private final String tenant;
@@ -166,8 +167,10 @@
     private long over;
     private Runnable done = () -> { };
 
-    FleetLoad(Experiment experiment, Experiment.Settings of, EventLoop loop, Auditor auditor, Tally tally, long origin, Luck luck) {
+    FleetLoad(Experiment experiment, Experiment.Settings of, double factor, EventLoop loop, Auditor auditor, Tally tally,
+              long origin, Luck luck) {
         this.load = experiment.load();
+        this.rate = load.rate() * factor;
         this.settings = of.module();
         this.classes = of.classes();
         this.tenant = of.tenants().get(0);
@@ -236,7 +239,7 @@
     }
 
     private void next() {
-        long at = now() + (long) (pauses.sample() * 1e9 / (load.rate() * surge));
+        long at = now() + (long) (pauses.sample() * 1e9 / (rate * surge));
         if (at >= length) {
             look();
             return;
--- a/src/main/java/eiderscale/fleet/FleetRun.java
+++ b/src/main/java/eiderscale/fleet/FleetRun.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -48,6 +49,7 @@
 
     private final Experiment experiment;
     private final Experiment.Settings settings;
+    private final double factor;
     private final Machine.Program program;
     private final Path folder;
     private final Luck luck;
@@ -69,15 +71,22 @@
     private Tally tally;
     private FleetLoad load;
 
-    /** {@code folder}: where machines have theirs; what is in it may be lost. */
-    public FleetRun(Experiment experiment, Experiment.Settings settings, Machine.Program program, Path folder, long seed) {
+    /**
+     * {@code settings}: the variant's; {@code factor}: its load beside the experiment's; {@code folder}: where machines have
+     * theirs; what is in it may be lost. Throws {@link ConfigException} that names what cannot be played on processes.
+     */
+    public FleetRun(Experiment experiment, Experiment.Settings settings, double factor, Machine.Program program, Path folder, long seed) {
         for (Experiment.Injury injury : experiment.injuries()) {
             if (!PLAYED.contains(injury.what())) {
                 throw new ConfigException("injury '" + injury.what() + "' is not played on processes, only " + String.join(", ",
                         PLAYED.stream().sorted().toList()));
             }
         }
+        if (experiment.load().shape() != Experiment.Shape.STEADY) {
+            throw new ConfigException("load.shape: processes are asked at a steady rate alone");
+        }
         this.experiment = experiment;
+        this.factor = factor;
         this.settings = settings;
         this.program = program;
         this.folder = folder;
@@ -119,7 +128,7 @@
         // The run's time begins when all are ready; what came before does not count.
         origin = System.nanoTime();
         bootOrigin = System.currentTimeMillis();
-        load = new FleetLoad(experiment, settings, clients, auditor, tally, origin, luck);
+        load = new FleetLoad(experiment, settings, factor, clients, auditor, tally, origin, luck);
         machines.forEach(machine -> load.door(machine.port()));
         CountDownLatch done = new CountDownLatch(1);
         clients.execute(() -> load.start(done::countDown));
@@ -327,24 +336,13 @@
     }
 
     private List<FleetHost> targets(Experiment.Injury injury) {
-        List<FleetHost> found = new ArrayList<>();
-        for (FleetHost host : hosts) {
-            boolean named = injury.hosts() == null || host.name().equals(injury.hosts()) || host.name().startsWith(injury.hosts() + "-");
-            if (named && (injury.zone() == null || injury.zone().equals(host.zone))) {
-                found.add(host);
-            }
-        }
-        int most = injury.part() >= 1 ? found.size() : Math.max(1, (int) Math.round(found.size() * injury.part()));
-        return List.copyOf(found.subList(0, Math.min(found.size(), most)));
+        List<FleetHost> found = new ArrayList<>(hosts);
+        found.removeIf(host -> !injury.names(host.name(), host.zone));
+        return List.copyOf(found.subList(0, injury.meets(found.size())));
     }
 
     private List<Integer> some(Experiment.Injury injury) {
-        int most = Math.max(1, (int) Math.round(machines.size() * injury.part()));
-        List<Integer> numbers = new ArrayList<>();
-        for (int i = 0; i < most; i++) {
-            numbers.add(i);
-        }
-        return numbers;
+        return IntStream.range(0, injury.meets(machines.size())).boxed().toList();
     }
 
     private void begin(Experiment.Injury injury) throws IOException, InterruptedException {
--- a/src/main/java/eiderscale/lab/Injuries.java
+++ b/src/main/java/eiderscale/lab/Injuries.java
@@ -25,16 +25,9 @@
     }
 
     private List<LabHost> targets(Experiment.Injury injury) {
-        List<LabHost> found = new ArrayList<>();
-        for (LabHost host : world.hosts) {
-            boolean named = injury.hosts() == null || host.name.equals(injury.hosts())
-                    || host.name.startsWith(injury.hosts() + "-") || host.name.startsWith(injury.hosts()) && injury.hosts().endsWith("-");
-            if (named && (injury.zone() == null || world.zoneName(host.zone).equals(injury.zone()))) {
-                found.add(host);
-            }
-        }
-        int most = injury.part() >= 1 ? found.size() : Math.max(1, (int) Math.round(found.size() * injury.part()));
-        return found.subList(0, Math.min(found.size(), most));
+        List<LabHost> found = new ArrayList<>(world.hosts);
+        found.removeIf(host -> !injury.names(host.name, world.zoneName(host.zone)));
+        return found.subList(0, injury.meets(found.size()));
     }
 
     private void later(Experiment.Injury injury, Runnable end) {
@@ -139,7 +132,7 @@
     }
 
     private List<LabBalancer> some(Experiment.Injury injury) {
-        return world.balancers.subList(0, Math.max(1, (int) Math.round(world.balancers.size() * injury.part())));
+        return world.balancers.subList(0, injury.meets(world.balancers.size()));
     }
 
     private void kill(LabHost host) {
--- a/src/main/java/eiderscale/lab/LabHost.java
+++ b/src/main/java/eiderscale/lab/LabHost.java
@@ -89,7 +89,7 @@
     /** The part of its speed that it has, from its cold share to 1. */
     double speed(long now) {
         long age = startedAt == Long.MIN_VALUE ? Long.MAX_VALUE : now - startedAt;
-        return age >= kind.warm() ? 1 : kind.cold() + (1 - kind.cold()) * age / kind.warm();
+        return kind.speed(age);
     }
 
     @Override
@@ -109,7 +109,7 @@
 
     @Override
     public double canDo(long now, long span) {
-        return kind.slots() * speed(now) * span / kind.work();
+        return kind.canDo(speed(now), span);
     }
 
     /** The process ends: what it had is gone, and what was in it is never answered. */
--- a/src/test/java/eiderscale/fleet/Played.java
+++ b/src/test/java/eiderscale/fleet/Played.java
@@ -31,7 +31,7 @@
 
     /** On processes; nothing may break. */
     FleetResult onProcesses(Path folder) throws Exception {
-        FleetResult result = new FleetRun(experiment, settings, Machine.Program.here(), folder, 1).run();
+        FleetResult result = new FleetRun(experiment, settings, 1, Machine.Program.here(), folder, 1).run();
         assertTrue(result.broken().isEmpty(), () -> result.text(true));
         return result;
     }
