--- a/src/main/java/eiderscale/fleet/Child.java
+++ b/src/main/java/eiderscale/fleet/Child.java
@@ -24,11 +24,16 @@
     private final Process process;
     private final Keeper keeper;
     private final Deque<String> lines = new ArrayDeque<>();
+    /** Lines that are no longer kept, the place of the last that was found, and where the next search behind it begins. */
+    private long forgotten;
+    private long found;
+    private long passed;
     private final Thread reads;
     private final long startedAt = System.nanoTime();
     private volatile boolean killed;
 
-    Child(List<String> command, Map<String, String> environment, Path folder, Keeper keeper) throws IOException {
+    /** Starts it in a folder; {@code keeper} ends it with us. */
+    public Child(List<String> command, Map<String, String> environment, Path folder, Keeper keeper) throws IOException {
         this.keeper = keeper;
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).directory(folder.toFile());
         builder.environment().putAll(environment);
@@ -46,6 +51,7 @@
                     lines.addLast(line);
                     if (lines.size() > MOST_LINES) {
                         lines.removeFirst();
+                        forgotten++;
                     }
                     lines.notifyAll();
                 }
@@ -84,13 +90,29 @@
 
     /** Waits for a line; throws {@link IllegalStateException} with its log where none comes in time or it ends first. */
     public String await(Predicate<String> wanted, long limitMs) throws InterruptedException {
+        return await(wanted, 0, limitMs);
+    }
+
+    /** As {@link #await(Predicate, long)}, for a line behind the one that this found before. */
+    public String awaitNext(Predicate<String> wanted, long limitMs) throws InterruptedException {
+        synchronized (lines) {
+            String line = await(wanted, passed, limitMs);
+            passed = found + 1;
+            return line;
+        }
+    }
+
+    /** {@code from}: the first line that counts, by its number since the start. */
+    private String await(Predicate<String> wanted, long from, long limitMs) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
         synchronized (lines) {
             while (true) {
+                found = forgotten;
                 for (String line : lines) {
-                    if (wanted.test(line)) {
+                    if (found >= from && wanted.test(line)) {
                         return line;
                     }
+                    found++;
                 }
                 if (System.nanoTime() > end || !process.isAlive() && !reads.isAlive()) {
                     throw new IllegalStateException((process.isAlive() ? "never said it" : "ended") + ": " + lines);
@@ -131,6 +153,11 @@
     public int stop(long limitMs) throws InterruptedException {
         // The process object's own destroy would close its log as well.
         process.toHandle().destroy();
+        return end(limitMs);
+    }
+
+    /** Its end, which comes by itself; its exit code. Throws {@link IllegalStateException} where it does not come in time. */
+    public int end(long limitMs) throws InterruptedException {
         if (!process.waitFor(limitMs, TimeUnit.MILLISECONDS)) {
             throw new IllegalStateException("did not end: " + log());
         }
@@ -154,9 +181,18 @@
 
     /** What it holds in memory, in megabytes; 0 once it is gone. */
     public long residentMb() {
+        return megabytes("VmRSS");
+    }
+
+    /** The most that it has held in memory, in megabytes; 0 once it is gone. */
+    public long peakMb() {
+        return megabytes("VmHWM");
+    }
+
+    private long megabytes(String what) {
         try {
             for (String line : Files.readAllLines(Path.of("/proc/" + pid() + "/status"))) {
-                if (line.startsWith("VmRSS:")) {
+                if (line.startsWith(what + ":")) {
                     return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024;
                 }
             }
--- a/src/main/java/eiderscale/fleet/Keeper.java
+++ b/src/main/java/eiderscale/fleet/Keeper.java
@@ -8,7 +8,7 @@
  * Ends children by their ids when whoever started them is gone, however that ended: a shell that reads their ids from a pipe,
  * and kills those that are left when the pipe closes.
  */
-final class Keeper implements AutoCloseable {
+public final class Keeper implements AutoCloseable {
     private static final String SCRIPT = "all=' '; while read -r what id; do case \"$what\" in"
             + " '+') all=\"$all$id \";; '-') all=\"${all%% $id *} ${all#* $id }\";; esac; done;"
             + " for id in $all; do kill -9 \"$id\" 2>/dev/null; done";
@@ -16,7 +16,8 @@
     private final Process shell;
     private final OutputStream to;
 
-    Keeper() throws IOException {
+    /** Starts the shell. */
+    public Keeper() throws IOException {
         shell = new ProcessBuilder("sh", "-c", SCRIPT).redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .redirectError(ProcessBuilder.Redirect.DISCARD).start();
         to = shell.getOutputStream();
--- a/src/main/java/eiderscale/fleet/Machine.java
+++ b/src/main/java/eiderscale/fleet/Machine.java
@@ -32,8 +32,8 @@
             return String.join(java.io.File.pathSeparator, parts);
         }
 
-        /** In the folder {@link #home}: the class archive holds for the path as the deploy file states it. */
-        List<String> command() {
+        /** To be started in the folder {@link #home}: the class archive holds for the path as the deploy file states it. */
+        public List<String> command() {
             List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                     "@deploy/jvm.options"));
             boolean built = classPath.equals(home.resolve(JAR).toString());
