A balancer that stood still hears the list before it begins anything, and then by and by

Seen: `fleet run bench/fleet/stalled.toml`, three of six balancers stopped for 5 s, one host drained after 1 s of that and half of them after 2 s: discovery that takes 20 ms for an answer let 6 attempts reach hosts which had drained for longer than the grace, one that takes 200 ms let 380.

Cause: a watch tells one change and ends (`Discovery.Call.channelRead0`); what came behind that is known only when the next call is answered, and all that clients had sent meanwhile is read and begun before (`MetaConnection.beginPending`).

The ledger holds requests and attempts meanwhile, for sockets, laboratory and checker alike; a connection that comes up while it is blind is not written to. A request whose client leaves or whose time ends meanwhile is answered as ever and the module never hears of it.

The checker exhausts four worlds with standstills, and finds a standstill that is not noticed and one that connections pass by.

--- a/src/main/java/eiderscale/check/Event.java
+++ b/src/main/java/eiderscale/check/Event.java
@@ -42,6 +42,12 @@
         IN("host %d is put back", false),
         /** Settings that allow one attempt, and make the safe class unsafe. */
         RENEW("other settings come", false),
+        /** The process has stood still, and a host began to drain meanwhile. */
+        STAND("the process stood still while host %d began to drain", false),
+        /** What it asked of the list behind that is answered. */
+        CONFIRM("the list is told", false),
+        /** It is not. */
+        UNHEARD("the call for the list fails", true),
         /** The process is told to end. */
         STOP("the process is to end", false);
 
--- a/src/main/java/eiderscale/check/SmallWorld.java
+++ b/src/main/java/eiderscale/check/SmallWorld.java
@@ -16,6 +16,7 @@
 import eiderscale.ledger.Terms;
 import eiderscale.ledger.Work;
 import eiderscale.maintenance.Maintenance;
+import eiderscale.recovery.Recovery;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.IdentityHashMap;
@@ -190,6 +191,12 @@
     private int lists;
     private int calls;
     private int renewals;
+    private int stands;
+    private long stoodAt;
+    /** The host that drains and whose word is not told yet. */
+    private int untold;
+    /** The list has been asked for behind a standstill. */
+    private boolean asks;
     private boolean stopped;
     private long stoppedAt;
     private String broken;
@@ -270,6 +277,18 @@
         for (int i = 0; i < bounds.hosts(); i++) {
             hostEvents(i, next);
         }
+        if (asks) {
+            next.add(new Event(Kind.CONFIRM, untold));
+            if (mayFail) {
+                next.add(new Event(Kind.UNHEARD, untold));
+            }
+        } else if (stands < bounds.stands()) {
+            for (int i = 0; i < bounds.hosts(); i++) {
+                if (listed[i] == State.READY) {
+                    next.add(new Event(Kind.STAND, i));
+                }
+            }
+        }
         if (renewals < bounds.renewals()) {
             next.add(new Event(Kind.RENEW, 0));
         }
@@ -398,6 +417,18 @@
                 list(at, State.READY);
             }
             case OUT, IN -> operate(at, event.kind() == Kind.OUT);
+            case STAND -> {
+                stands++;
+                stoodAt = now;
+                untold = at;
+                ledger.stoodStill(now);
+            }
+            case CONFIRM -> confirm();
+            case UNHEARD -> {
+                asks = false;
+                ledger.onList(now, Api.ListMode.FAILED, List.of());
+                ledger.rechecked(now);
+            }
             case RENEW -> {
                 renewals++;
                 ledger.renew(now, new Rules(settings(1, Effect.FRAGILE)), 11);
@@ -449,6 +480,9 @@
         if (leavingAt[carrier.host] != NEVER && now > leavingAt[carrier.host] + GRACE) {
             breaks("something new goes to host " + carrier.host + " past its grace");
         }
+        if (asks && now < stoodAt + Recovery.MOST_BLIND) {
+            breaks("something goes out by a list from before a standstill");
+        }
         for (Carrier other : carriers) {
             if (other != carrier && other.asked == asked && other.mayRun()) {
                 if (asked.effect == Effect.FRAGILE || isUnsafeNow(asked)) {
@@ -489,6 +523,20 @@
         ledger.onList(now, Api.ListMode.DELTA, List.of(server(host)));
     }
 
+    private void confirm() {
+        asks = false;
+        listed[untold] = State.DRAINING;
+        see(untold);
+        List<Api.Server> all = new ArrayList<>();
+        for (int i = 0; i < bounds.hosts(); i++) {
+            if (listed[i] != State.GONE) {
+                all.add(server(i));
+            }
+        }
+        ledger.onList(now, Api.ListMode.FULL, all);
+        ledger.rechecked(now);
+    }
+
     private void operate(int host, boolean takesOut) {
         calls++;
         out[host] = takesOut;
@@ -637,6 +685,12 @@
         // Lists come when they come.
     }
 
+    @Override
+    public boolean recheck() {
+        asks = true;
+        return true;
+    }
+
     @Override
     public void unexpected(RuntimeException thrown) {
         breaks("unexpected " + thrown);
@@ -647,7 +701,8 @@
     /** Two worlds with one fingerprint go on alike, but for what a module draws by chance. */
     public long fingerprint() {
         Fingerprint print = new Fingerprint();
-        print.add(now).add(faults).add(lists).add(calls).add(renewals).add(stoppedAt).add(ledger.size());
+        print.add(now).add(faults).add(lists).add(calls).add(renewals).add(stoppedAt).add(ledger.size())
+                .add(stands).add(asks ? 1 : 0).add(untold).add(stoodAt).add(ledger.waiting());
         for (Asked asked : requests) {
             print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(Math.min(2, asked.runs));
         }
--- a/src/main/java/eiderscale/cli/CheckCommand.java
+++ b/src/main/java/eiderscale/cli/CheckCommand.java
@@ -49,6 +49,9 @@
     @Option(names = "--renewals", paramLabel = "N", defaultValue = "0", description = "Reloads of other settings in one run. Default: 0.")
     private int renewals;
 
+    @Option(names = "--stands", paramLabel = "N", defaultValue = "0", description = "Standstills of the process in one run. Default: 0.")
+    private int stands;
+
     @Option(names = "--stop", description = "The process may be told to end.")
     private boolean stops;
 
@@ -114,7 +117,7 @@
             });
         }
         try {
-            return new Bounds(hosts, each, depth, faults, lists, calls, renewals, stops, streams);
+            return new Bounds(hosts, each, depth, faults, lists, calls, renewals, stops, streams, stands);
         } catch (IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
--- a/src/main/java/eiderscale/config/Experiment.java
+++ b/src/main/java/eiderscale/config/Experiment.java
@@ -34,8 +34,8 @@
     public record Network(long near, long far, long client, double jitter, double resets) {
     }
 
-    /** How the list is told. */
-    public record Discovery(long lag, long spread, long notices) {
+    /** How the list is told; {@code call}: how long an answer takes. */
+    public record Discovery(long lag, long spread, long notices, long call) {
     }
 
     /** How the rate goes with time. */
@@ -279,7 +279,7 @@
     /** How the list is told. */
     public Discovery discovery() {
         Values d = root.table("discovery");
-        return new Discovery(d.whole("lag"), d.whole("spread"), d.whole("notices"));
+        return new Discovery(d.whole("lag"), d.whole("spread"), d.whole("notices"), d.whole("call"));
     }
 
     /** What clients ask. */
--- a/src/main/java/eiderscale/config/LabSpec.java
+++ b/src/main/java/eiderscale/config/LabSpec.java
@@ -61,6 +61,8 @@
                             Key.of("lag", Type.DURATION, "Changes are told after this.").or(SECOND).within(0, 600 * SECOND),
                             Key.of("spread", Type.DURATION, "And up to so much later, each balancer after its own time.").or(SECOND)
                                     .within(0, 600 * SECOND),
+                            Key.of("call", Type.DURATION, "How long discovery takes for an answer; played on processes.").or(0L)
+                                    .within(0, 10 * SECOND),
                             Key.of("notices", Type.DURATION, "How long the list goes on naming a host that has died, before the "
                                     + "lag.").or(4 * SECOND).within(0, 600 * SECOND)),
                     section("load", false, "What clients ask.",
--- a/src/main/java/eiderscale/fleet/FleetHost.java
+++ b/src/main/java/eiderscale/fleet/FleetHost.java
@@ -33,6 +33,7 @@
     private volatile double slowness = 1;
     private volatile double failing;
     private volatile boolean half;
+    private volatile long drainsSince = Long.MAX_VALUE;
     private long count;
 
     FleetHost(int number, String name, String zone, Experiment.Hosts kind, EventLoop loop, StandInOrigin origin, Luck luck,
@@ -97,6 +98,16 @@
         half = is;
     }
 
+    /** From now on it wants nothing new, whoever knows of that, or it does again. */
+    void drains(boolean is) {
+        drainsSince = is ? Math.min(drainsSince, clock.getAsLong()) : Long.MAX_VALUE;
+    }
+
+    /** Since when it wants nothing new; never is {@link Long#MAX_VALUE}. */
+    long drainsSince() {
+        return drainsSince;
+    }
+
     /** Another process stands there, cold. */
     void start() throws InterruptedException {
         server.start();
--- a/src/main/java/eiderscale/fleet/FleetLoad.java
+++ b/src/main/java/eiderscale/fleet/FleetLoad.java
@@ -357,6 +357,9 @@
             }
             long at = now();
             tally.add(Tally.Of.SENDS, at, 1);
+            if (at - settings.drainGrace() - Auditor.SLACK > host.drainsSince()) {
+                tally.add(Tally.Of.STALE, at, 1);
+            }
             if (host.isCold(at)) {
                 tally.add(Tally.Of.COLD_SENDS, at, 1);
             }
--- a/src/main/java/eiderscale/fleet/FleetResult.java
+++ b/src/main/java/eiderscale/fleet/FleetResult.java
@@ -82,6 +82,10 @@
         if (inVain > 0) {
             text.append(String.format(Locale.ROOT, "%.0f attempts reached hosts after their client's time was over%n", inVain));
         }
+        double stale = tally.sum(Of.STALE, 0, tally.windows());
+        if (stale > 0) {
+            text.append(String.format(Locale.ROOT, "%.0f attempts reached hosts that had drained for longer than the grace%n", stale));
+        }
         if (!lives.isEmpty()) {
             double[] first = lives.stream().filter(life -> life.servesAt() >= 0)
                     .mapToDouble(life -> (life.servesAt() - life.listensAt()) / 1e6).sorted().toArray();
--- a/src/main/java/eiderscale/fleet/FleetRun.java
+++ b/src/main/java/eiderscale/fleet/FleetRun.java
@@ -222,6 +222,7 @@
             StandInDiscovery list = new StandInDiscovery(loops.next());
             list.onTold((uid, state) -> clients.execute(() -> auditor.told(number, host(uid), state.equals("Ready") ? Api.State.READY
                     : Api.State.DRAINING)));
+            list.takes(experiment.discovery().call());
             lists.add(list);
             for (FleetHost host : hosts) {
                 list.put(host.name(), endpoint(host, i), host.zone, "Ready", 0);
@@ -440,6 +441,7 @@
         synchronized (states) {
             states.put(host, state);
         }
+        host.drains(state.equals("Terminating"));
         for (int i = 0; i < lists.size(); i++) {
             lists.get(i).put(host.name(), endpoint(host, i), host.zone, state, bootMs);
         }
--- a/src/main/java/eiderscale/fleet/Tally.java
+++ b/src/main/java/eiderscale/fleet/Tally.java
@@ -20,6 +20,8 @@
         SENDS, COLD_SENDS, COLD_ROOM,
         /** Attempts that reached hosts after their client's time was over. */
         IN_VAIN,
+        /** Attempts that reached hosts which had drained for longer than the grace, whoever had been told of it. */
+        STALE,
         /** Connections that hosts accepted, and calls that discovery got. */
         OPENED, CALLS,
         /** Processor time of all balancers, in milliseconds. */
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -231,6 +231,12 @@
     /** Does nothing until then: what comes waits. */
     void stall(long until) {
         stalledUntil = until;
+        // Before all that waits for that moment.
+        world.events.at(until, () -> {
+            if (!dead && stalledUntil == until) {
+                ledger.stoodStill(until);
+            }
+        });
     }
 
     /** Its process ends: its connections are reset, and whoever waits at it sees that. */
@@ -511,6 +517,19 @@
         wires.closeIdle(server);
     }
 
+    /** What it asked behind a standstill has been told. */
+    void rechecked() {
+        if (!waits(this::rechecked)) {
+            ledger.rechecked(world.now());
+        }
+    }
+
+    @Override
+    public boolean recheck() {
+        world.discovery.confirm(this);
+        return true;
+    }
+
     @Override
     public void subscribe() {
         if (dead) {
--- a/src/main/java/eiderscale/lab/ListService.java
+++ b/src/main/java/eiderscale/lab/ListService.java
@@ -65,6 +65,14 @@
         });
     }
 
+    /** A balancer that watches asks what there is now, and hears it after the way there and back. */
+    void confirm(LabBalancer balancer) {
+        world.events.in(2 * world.experiment.network().far(), () -> {
+            balancer.onList(down ? Api.ListMode.FAILED : Api.ListMode.FULL, down ? List.of() : all(), byId());
+            balancer.rechecked();
+        });
+    }
+
     /** An entry has changed. */
     void changed(LabHost host, long id, Api.State state) {
         Api.Server entry = entry(host, id, state);
--- a/src/main/java/eiderscale/ledger/Attempt.java
+++ b/src/main/java/eiderscale/ledger/Attempt.java
@@ -11,6 +11,8 @@
     long cutAt;
     /** Set once, with the attempt's one outcome. */
     boolean over;
+    /** It has not gone out: whether its host still wants it is not known. */
+    boolean waits;
     /** Known with its outcome. */
     boolean mayHaveRun;
     /** When its answer began to come; 0 before that, and where answers come whole. From then on it has no cut. */
--- a/src/main/java/eiderscale/ledger/Counts.java
+++ b/src/main/java/eiderscale/ledger/Counts.java
@@ -13,6 +13,8 @@
     long lastCalls;
     long copies;
     long localRefusals;
+    long standstills;
+    long held;
     private long timers;
     private long lateTimers;
     private long latest;
@@ -67,6 +69,16 @@
         return localRefusals;
     }
 
+    /** Standstills that were noticed. */
+    public long standstills() {
+        return standstills;
+    }
+
+    /** Requests that waited behind one. */
+    public long held() {
+        return held;
+    }
+
     /** A request was turned away for want of room before the ledger saw it. */
     public void refusedHere() {
         localRefusals++;
--- a/src/main/java/eiderscale/ledger/Exchange.java
+++ b/src/main/java/eiderscale/ledger/Exchange.java
@@ -15,6 +15,8 @@
     /** The latest moment for a final answer. */
     long deadline;
     int pending;
+    /** The module has been told of it. */
+    boolean begun;
     /** Answered, or the client is gone: nothing is owed and nothing new goes out. */
     boolean over;
     /** The attempt whose answer has begun and went to the client; null before that. */
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -6,6 +6,7 @@
 import eiderscale.Api.State;
 import eiderscale.Learnt;
 import eiderscale.maintenance.Maintenance;
+import eiderscale.recovery.Recovery;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -83,6 +84,23 @@
     private long lastId;
     /** By then this process may be gone. */
     private long endAt = NEVER;
+    private final Recovery recovery = new Recovery();
+    /** Requests that have not begun, in the order in which they came, and attempts that have not gone out. */
+    private final Queue<Exchange<W, C, L, A>> waiting = new ArrayDeque<>();
+    private final Queue<Attempt<W, C, L, A>> unsent = new ArrayDeque<>();
+    /** The end of what this waits for, whether or not it comes. */
+    private final Due waitOver = new Due() {
+        @Override
+        public void due(long now) {
+            enter(now);
+            if (recovery.state() == Recovery.State.BLIND) {
+                seeing();
+            } else {
+                recovery.settled();
+                beginWaiting();
+            }
+        }
+    };
 
     /** Begins with a module of its own; a list of hosts is to follow. */
     public Ledger(Terms terms, long seed, Module module, LedgerActions<W, C, L, A> actions, Counts counts, Budget budget,
@@ -122,6 +140,11 @@
         return exchanges.size();
     }
 
+    /** Requests that wait behind a standstill. */
+    public int waiting() {
+        return waiting.size();
+    }
+
     /** The settings that new requests come under. */
     public Terms terms() {
         return current.terms;
@@ -158,10 +181,69 @@
             openIds.add(work.id());
         }
         actions.arm(exchange, deadline + LAST_CALL);
+        if (waiting.isEmpty() && recovery.mayBegin()) {
+            begin(exchange);
+        } else {
+            counts.held++;
+            waiting.add(exchange);
+        }
+        return exchange;
+    }
+
+    private void begin(Exchange<W, C, L, A> exchange) {
+        exchange.begun = true;
+        recovery.began();
+        W work = exchange.work();
         Api.Request asked = new Api.Request(exchange.id, work.requestClass(), work.tenant(), work.key(),
-                deadline, work.work(), work.repeat(), work.write(), work.isBulk());
+                exchange.deadline, work.work(), work.repeat(), work.write(), work.isBulk());
         post(exchange, () -> exchange.generation.module.onRequest(time, asked));
-        return exchange;
+    }
+
+    // Behind a standstill.
+
+    /**
+     * The driver's process stood still: lists are as old as that, and what comes now has waited. Requests and attempts wait
+     * until the list is told, and begin by and by: see {@link Recovery}.
+     */
+    public void stoodStill(long now) {
+        enter(now);
+        counts.standstills++;
+        boolean asks = actions.recheck();
+        recovery.stoodStill(asks);
+        actions.arm(waitOver, time + (asks ? Recovery.MOST_BLIND : Recovery.MOST_SETTLING));
+    }
+
+    /** The call that {@link LedgerActions#recheck} has begun is over, and what it told has been passed on. */
+    public void rechecked(long now) {
+        enter(now);
+        if (recovery.state() == Recovery.State.BLIND) {
+            seeing();
+        }
+    }
+
+    /** The list is as new as it will be: attempts go out as far as their hosts still want them, and requests begin. */
+    private void seeing() {
+        recovery.told();
+        actions.arm(waitOver, time + Recovery.MOST_SETTLING);
+        for (Attempt<W, C, L, A> attempt = unsent.poll(); attempt != null; attempt = unsent.poll()) {
+            if (!attempt.over) {
+                goOut(attempt);
+            }
+        }
+        beginWaiting();
+    }
+
+    private void beginWaiting() {
+        while (!waiting.isEmpty() && recovery.mayBegin()) {
+            Exchange<W, C, L, A> exchange = waiting.poll();
+            if (!exchange.over) {
+                begin(exchange);
+            }
+        }
+        if (waiting.isEmpty() && recovery.state() == Recovery.State.SETTLING) {
+            recovery.settled();
+            actions.disarm(waitOver);
+        }
     }
 
     /** A request of a tenant waits for the answer to another one, and is not taken itself. */
@@ -190,9 +272,9 @@
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(long now, Exchange<W, C, L, A> exchange) {
         enter(now);
-        if (close(exchange)) {
+        if (close(exchange, false)) {
             counts.clientsGone++;
-            post(exchange, () -> exchange.generation.module.onClientGone(time, exchange.id));
+            leftModule(exchange);
         } else if (exchange.streaming != null) {
             // Answered: what still comes of it is for nobody.
             drop(exchange.streaming, Reason.CANCELLED);
@@ -310,6 +392,10 @@
     public Reason hindrance(long now, Attempt<W, C, L, A> attempt) {
         Host host = attempt.target;
         long at = enter(now);
+        if (recovery.state() == Recovery.State.BLIND && !attempt.over) {
+            // Its connection came up behind a standstill: whether its host still wants it is not known, and nothing has left.
+            return Reason.CONNECT_FAILED;
+        }
         if (attempt.over || !attempt.exchange().work().maySend() || isSpent(at, attempt)) {
             return Reason.MOOT;
         }
@@ -394,7 +480,7 @@
                 return;
             }
             counts.served++;
-            close(exchange);
+            close(exchange, true);
             exchange.streaming = attempt;
             actions.served(exchange, answer);
             exchange.generation.module.onFirstByte(time, exchange.id, attempt.number);
@@ -424,7 +510,7 @@
             exchange.pending--;
             if (reason == Reason.OK && !exchange.over) {
                 counts.served++;
-                close(exchange);
+                close(exchange, true);
                 actions.served(exchange, answer);
             }
             exchange.last(reason == Reason.OK ? null : answer);
@@ -441,7 +527,9 @@
 
     void drop(Attempt<W, C, L, A> attempt, Reason reason) {
         if (!attempt.over) {
-            actions.abandon(attempt);
+            if (!attempt.waits) {
+                actions.abandon(attempt);
+            }
             ended(time, attempt, reason, null, NO_REPORT, Api.Lookup.UNTOLD);
         }
     }
@@ -495,7 +583,16 @@
             } else {
                 answerRefused(exchange, 0);
             }
+            leftModule(exchange);
+        }
+    }
+
+    /** The module need no longer care for it, if it ever heard of it. */
+    private void leftModule(Exchange<W, C, L, A> exchange) {
+        if (exchange.begun) {
             post(exchange, () -> exchange.generation.module.onClientGone(time, exchange.id));
+        } else {
+            forget(exchange);
         }
     }
 
@@ -542,7 +639,7 @@
 
     void answerRefused(Exchange<W, C, L, A> exchange, long wait) {
         counts.refused++;
-        if (close(exchange)) {
+        if (close(exchange, false)) {
             Api.Settings settings = exchange.generation.terms.settings();
             actions.refused(exchange, settings.retryAfter() ? Math.min(wait, settings.maxRetryAfter()) : 0);
         }
@@ -550,17 +647,25 @@
 
     private void answerFailed(Exchange<W, C, L, A> exchange) {
         counts.failed++;
-        if (close(exchange)) {
+        if (close(exchange, false)) {
             actions.failed(exchange);
         }
     }
 
-    /** True the first time; a request that found no room was never in the ledger, and its id is its own. */
-    boolean close(Exchange<W, C, L, A> exchange) {
+    /**
+     * True the first time; a request that found no room was never in the ledger, and its id is its own. {@code served}: by a
+     * host, which lets others begin that wait.
+     */
+    boolean close(Exchange<W, C, L, A> exchange, boolean served) {
         if (!exchange.close()) {
             return false;
         }
         actions.disarm(exchange);
+        if (exchange.begun && recovery.state() != Recovery.State.SETTLED) {
+            recovery.ended(served);
+            // Behind what this is part of.
+            post(null, this::beginWaiting);
+        }
         if (exchanges.containsKey(exchange.id)) {
             open--;
             if (exchange.work().id() != null) {
@@ -595,7 +700,23 @@
             ended(time, attempt, Reason.TIMEOUT, null, NO_REPORT, Api.Lookup.UNTOLD);
         } else {
             actions.arm(attempt, cut);
-            actions.send(attempt, server);
+            if (recovery.state() == Recovery.State.BLIND) {
+                unsent.add(attempt);
+                attempt.waits = true;
+            } else {
+                actions.send(attempt, server);
+            }
+        }
+    }
+
+    /** An attempt has waited for the list: whether it may still go is asked anew. */
+    private void goOut(Attempt<W, C, L, A> attempt) {
+        attempt.waits = false;
+        Host host = attempt.target;
+        if (!host.named || host.sendUntil != NEVER) {
+            ended(time, attempt, Reason.CONNECT_FAILED, null, NO_REPORT, Api.Lookup.UNTOLD);
+        } else {
+            actions.send(attempt, attempt.host());
         }
     }
 
--- a/src/main/java/eiderscale/ledger/LedgerActions.java
+++ b/src/main/java/eiderscale/ledger/LedgerActions.java
@@ -49,6 +49,12 @@
     /** Follows the list of hosts. */
     void subscribe();
 
+    /**
+     * Asks for the list anew, at once, as what is known of it may be old: a call that begins now, whose end is told as a list or
+     * as a call that failed, and then by {@link Ledger#rechecked}. False where lists come by themselves, or there is nobody to ask.
+     */
+    boolean recheck();
+
     /** The module has thrown this; the request that it was about is answered by the rules. */
     void unexpected(RuntimeException thrown);
 }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -15,6 +15,7 @@
 import eiderscale.ledger.Taken;
 import eiderscale.ledger.Terms;
 import eiderscale.maintenance.Maintenance;
+import eiderscale.recovery.Heartbeat;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
@@ -28,6 +29,8 @@
  */
 final class Balancer implements Core, HostPool.Listener, Discovery.Listener,
         LedgerActions<Request, Client, HostPool.Link, Answer> {
+    /** A sweep that is overdue by this was kept by a standstill: as long as drains give, as lists may be older than that then. */
+    private static final long STOOD = Clock.SECOND;
     /** Begins the ids that balancers make up. */
     private static final char OWN_ID = '~';
 
@@ -57,13 +60,14 @@
     private final Counters counters;
     private final HostPool pool;
     private final Discovery discovery;
+    private final Heartbeat heartbeat = new Heartbeat(Clock.now(), STOOD);
     private Site site;
     private long lastOwnId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Ledger.Module module, Budget budget,
              HostProtocol protocol, int mostConnections, Maintenance maintenance) {
         this.site = config.site();
-        this.timers = new Timers(loop, counters);
+        this.timers = new Timers(loop, counters, this::look);
         this.counters = counters;
         this.pool = new HostPool(site, loop, counters, protocol, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
@@ -81,6 +85,7 @@
 
     @Override
     public Taken take(Request request, Client client) {
+        look();
         return ledger.take(Clock.now(), request, client);
     }
 
@@ -117,6 +122,7 @@
 
     @Override
     public void onList(Api.ListMode mode, List<Catalog.Member> told) {
+        look();
         pool.update(mode, told);
         if (mode == Api.ListMode.FULL || mode == Api.ListMode.CACHED) {
             members.clear();
@@ -131,6 +137,11 @@
         ledger.onList(Clock.now(), mode, told.stream().map(Catalog.Member::server).toList());
     }
 
+    @Override
+    public void onRechecked() {
+        ledger.rechecked(Clock.now());
+    }
+
     /** Whether lists name a host at present. */
     boolean lists(long host) {
         return ledger.lists(host);
@@ -209,14 +220,29 @@
     }
 
     String gauges() {
-        return "open " + open() + " ledger " + ledger.size() + " timers " + timers.size() + " " + pool.gauges();
+        return "open " + open() + " ledger " + ledger.size() + (ledger.waiting() > 0 ? " waiting " + ledger.waiting() : "") + " timers " + timers.size() + " " + pool.gauges();
     }
 
-    /** Closes what the pool holds idle for too long; called once in a while. */
+    /** Closes what the pool holds idle for too long; called a few times a second. */
     void sweep() {
+        if (heartbeat.beat(Clock.now())) {
+            stoodStill();
+        }
         pool.sweep();
     }
 
+    /** Whether this is the first event behind a standstill. */
+    private void look() {
+        if (heartbeat.isFirst(Clock.now())) {
+            stoodStill();
+        }
+    }
+
+    private void stoodStill() {
+        Counters.log("stood still: asks for the list before it goes on");
+        ledger.stoodStill(Clock.now());
+    }
+
     // What becomes of attempts.
 
     @Override
@@ -298,6 +324,11 @@
         discovery.subscribe();
     }
 
+    @Override
+    public boolean recheck() {
+        return discovery.recheck();
+    }
+
     @Override
     public void unexpected(RuntimeException thrown) {
         counters.unexpected("unexpected exception", thrown);
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -36,12 +36,17 @@
     /** Hears every list in order. A failure ends the watch; the module says when to ask again. */
     interface Listener {
         void onList(ListMode mode, List<Catalog.Member> members);
+
+        /** The call that {@link Discovery#recheck} began has been told of. */
+        void onRechecked();
     }
 
     /** How long a watch may wait for news; each call costs discovery work. */
     private static final long WAIT_MS = 20_000;
     /** Silence for so long past that wait is a failure; a call may stand in line for two seconds. */
     private static final long SILENCE_MS = 2_500;
+    /** Where news are wanted that there are now. */
+    private static final long RECHECK_MS = 5;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -96,6 +101,20 @@
         }
     }
 
+    /**
+     * Asks at once, with an answer wanted soon whether or not there is news: what a watch that was out for long has told is not
+     * all, as it says one thing and ends. False, and nothing is done, while nobody watches.
+     */
+    boolean recheck() {
+        if (current == null) {
+            return false;
+        }
+        current.drop();
+        current = new Call(true);
+        current.start();
+        return current != null;
+    }
+
     /**
      * Discovery is to be found elsewhere. The call to the old address is dropped without a word, as its end is
      * no failure that anyone should wait after, and the new address is asked at once: the old one tells nothing
@@ -129,18 +148,29 @@
 
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final boolean isRecheck;
+        private final long waitMs;
         private long begun;
         private Future<?> silence;
         private Channel channel;
         private boolean over;
 
+        Call() {
+            this(false);
+        }
+
+        Call(boolean isRecheck) {
+            this.isRecheck = isRecheck;
+            this.waitMs = isRecheck ? RECHECK_MS : WAIT_MS;
+        }
+
         void start() {
             if (over) {
                 return;
             }
             begun = Clock.now();
             // Before the connection: a refused one may fail within this very call.
-            silence = loop.schedule(() -> fail("silence"), WAIT_MS + SILENCE_MS, TimeUnit.MILLISECONDS);
+            silence = loop.schedule(() -> fail("silence"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -165,7 +195,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members" + (moved ? "" : "?since=" + rev + "&timeout_ms=" + WAIT_MS));
+                    "/catalog/members" + (moved ? "" : "?since=" + rev + "&timeout_ms=" + waitMs));
             request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
                     .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             ctx.writeAndFlush(request);
@@ -199,6 +229,9 @@
             long wait = Math.max(0, LEAST_MS - (Clock.now() - begun) / Clock.MILLISECOND);
             loop.schedule(next::start, wait, TimeUnit.MILLISECONDS);
             listener.onList(catalog.all() ? ListMode.FULL : ListMode.DELTA, catalog.members());
+            if (isRecheck) {
+                listener.onRechecked();
+            }
         }
 
         @Override
@@ -234,6 +267,9 @@
             current = null;
             tell(why);
             listener.onList(ListMode.FAILED, List.of());
+            if (isRecheck) {
+                listener.onRechecked();
+            }
         }
     }
 }
--- a/src/main/java/eiderscale/net/Timers.java
+++ b/src/main/java/eiderscale/net/Timers.java
@@ -23,12 +23,15 @@
     private final TimingWheel wheel = new TimingWheel(TICK, Clock.now());
     private final EventLoop loop;
     private final Counters counters;
+    private final Runnable before;
     private Future<?> armed;
     private long armedFor = NEVER;
 
-    Timers(EventLoop loop, Counters counters) {
+    /** {@code before}: run before any that are due. */
+    Timers(EventLoop loop, Counters counters, Runnable before) {
         this.loop = loop;
         this.counters = counters;
+        this.before = before;
     }
 
     /** Sets a timer, or sets it anew; {@code at}: on this program's clock. */
@@ -61,6 +64,7 @@
         armed = null;
         armedFor = NEVER;
         try {
+            before.run();
             wheel.advance(Clock.now(), MOST_AT_ONCE);
         } catch (RuntimeException e) {
             counters.unexpected("in a timer", e);
--- a/src/main/java/eiderscale/standin/StandInDiscovery.java
+++ b/src/main/java/eiderscale/standin/StandInDiscovery.java
@@ -48,6 +48,7 @@
     private final Channel server;
     private final AtomicLong calls = new AtomicLong();
     private volatile BooleanSupplier answers = () -> true;
+    private volatile long takes;
     private volatile Told told = (uid, state) -> { };
     private volatile boolean silent;
     private long rev = 1;
@@ -81,6 +82,11 @@
         answers = each;
     }
 
+    /** From now on each answer takes so long, in nanoseconds, from when it is known that it is to be given. */
+    public void takes(long ns) {
+        takes = ns;
+    }
+
     /** From now on calls get no answer and watches hear nothing, or they do again. */
     public void silent(boolean is) throws InterruptedException {
         silent = is;
@@ -119,12 +125,18 @@
         }).sync();
     }
 
-    /** A call with a version gets what has changed since; one without gets the whole list. */
     private void tell(Watch watch) {
         if (silent) {
             watches.add(watch);
-            return;
+        } else if (takes > 0) {
+            loop.schedule(() -> write(watch), takes, TimeUnit.NANOSECONDS);
+        } else {
+            write(watch);
         }
+    }
+
+    /** A call with a version gets what has changed since; one without gets the whole list. */
+    private void write(Watch watch) {
         boolean all = watch.since < 0;
         List<String> targets = new ArrayList<>();
         for (Entry entry : entries.values()) {
--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -21,7 +21,7 @@
     /** Packages without I/O, clock and threads. */
     private static final String[] PURE = {"eiderscale", "eiderscale.config",
         "eiderscale.check", "eiderscale.connections", "eiderscale.http.cache", "eiderscale.joining", "eiderscale.knowledge", "eiderscale.lab", "eiderscale.ledger",
-        "eiderscale.maintenance", "eiderscale.plan", "eiderscale.values", "eiderscale.zones"};
+        "eiderscale.maintenance", "eiderscale.plan", "eiderscale.recovery", "eiderscale.values", "eiderscale.zones"};
 
     private static final DescribedPredicate<JavaClass> MACHINERY = resideInAnyPackage("java.io..", "java.nio.file..",
             "java.nio.channels..", "java.util.concurrent..", "java.time", "java.util.logging..", "io.netty.channel..",
@@ -134,13 +134,17 @@
     @ArchTest
     static final ArchRule THE_LEDGER_KNOWS_NO_DRIVER = noClasses().that().resideInAPackage("eiderscale.ledger").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAnyPackage("eiderscale.ledger",
-            "eiderscale.connections", "eiderscale.maintenance"))).and(DescribedPredicate.not(nameMatching(
+            "eiderscale.connections", "eiderscale.maintenance", "eiderscale.recovery"))).and(DescribedPredicate.not(nameMatching(
             "eiderscale\\.(Api|Learnt)(\\$.*)?"))));
 
     @ArchTest
     static final ArchRule VALUES_KNOW_NOBODY = noClasses().that().resideInAPackage("eiderscale.values").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.values"))));
 
+    @ArchTest
+    static final ArchRule RECOVERY_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale.recovery").should()
+            .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.recovery"))));
+
     @ArchTest
     static final ArchRule JOINING_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale.joining").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.joining"))));
--- a/src/test/java/eiderscale/check/CheckerTest.java
+++ b/src/test/java/eiderscale/check/CheckerTest.java
@@ -37,14 +37,19 @@
     private static final List<Effect> UNSAFE = List.of(Effect.FRAGILE);
 
     private static Bounds bounds(List<Effect> effects, int faults, int lists, int calls, int renewals, boolean stops, boolean streams) {
-        return new Bounds(2, effects, 60, faults, lists, calls, renewals, stops, streams);
+        return new Bounds(2, effects, 60, faults, lists, calls, renewals, stops, streams, 0);
+    }
+
+    private static Bounds stands(List<Effect> effects, int faults, int stands) {
+        return new Bounds(2, effects, 60, faults, 0, 0, 0, false, false, stands);
     }
 
     static Stream<Bounds> worlds() {
         return Stream.of(bounds(SAFE, 2, 0, 0, 0, false, true), bounds(KEYED, 2, 0, 0, 0, false, true), bounds(UNSAFE, 2, 0, 0, 0, false, true),
                 bounds(SAFE, 1, 1, 0, 1, false, false), bounds(KEYED, 1, 1, 1, 0, false, false), bounds(UNSAFE, 1, 0, 2, 1, false, false),
                 bounds(UNSAFE, 1, 1, 0, 0, true, true), bounds(List.of(Effect.DEDUP, Effect.FRAGILE), 1, 0, 0, 0, false, false),
-                bounds(List.of(Effect.RETRYABLE, Effect.FRAGILE), 1, 0, 0, 0, false, false));
+                bounds(List.of(Effect.RETRYABLE, Effect.FRAGILE), 1, 0, 0, 0, false, false),
+                stands(SAFE, 1, 1), stands(UNSAFE, 1, 1), stands(SAFE, 0, 2), stands(KEYED, 1, 1));
     }
 
     /** Every state of each of these worlds, and no rule is broken. */
@@ -210,6 +215,8 @@
                 new Fault(Module.COPIES_ALL, Wrong.NO_HINDRANCE, unsafe, "goes out again though it may have run"),
                 new Fault(Module.SENDS_BEHIND_ITS_END, Wrong.ANSWERS_AGAIN, bounds(SAFE, 0, 0, 0, 0, false, false), ""),
                 new Fault(Module.TO_ANY_HOST, Wrong.NO_HINDRANCE, drains, "past its grace"),
+                new Fault(Module.RIGHT, Wrong.BEGINS_BLIND, stands(SAFE, 0, 1), "from before a standstill"),
+                new Fault(Module.RIGHT, Wrong.NO_HINDRANCE, stands(SAFE, 0, 1), "from before a standstill"),
                 new Fault(Module.THROWS, Wrong.NOTHING, safe, "unexpected"));
     }
 
@@ -241,7 +248,7 @@
     /** Larger worlds than can be searched, at random. */
     @Property(tries = 20)
     void walksThroughLargeWorldsBreakNoRule(@ForAll long seed) {
-        Bounds large = new Bounds(3, List.of(Effect.RETRYABLE, Effect.DEDUP, Effect.FRAGILE, Effect.DEDUP), 120, 6, 4, 4, 2, true, true);
+        Bounds large = new Bounds(3, List.of(Effect.RETRYABLE, Effect.DEDUP, Effect.FRAGILE, Effect.DEDUP), 120, 6, 4, 4, 2, true, true, 2);
         Checker.Result result = new Checker(large, SmallWorld.TRUE).walk(150, seed, (states, transitions, depth) -> true);
         assertNull(result.violation(), () -> result.violation().text());
     }
--- a/src/test/java/eiderscale/fleet/ComingBackTest.java
+++ b/src/test/java/eiderscale/fleet/ComingBackTest.java
@@ -96,6 +96,29 @@
                 """).onProcesses(folder);
     }
 
+    /** Two hosts drain one after the other while half stand still, and discovery takes its time: the second one gets nothing either. */
+    @Test
+    void whatDrainedDuringAStandstillGetsNothingBehindIt() throws Exception {
+        FleetResult result = Played.of(FLEET.replace("rate = 120.0", "rate = 300.0") + """
+                [discovery]
+                call = "100ms"
+                [[injuries]]
+                at = "500ms"
+                for = "3500ms"
+                what = "balancer-stall"
+                part = 0.5
+                [[injuries]]
+                at = "1s"
+                what = "drain"
+                hosts = "host-0"
+                [[injuries]]
+                at = "1500ms"
+                what = "drain"
+                hosts = "host-1"
+                """).onProcesses(folder);
+        assertEquals(0, result.tally().sum(Tally.Of.STALE, 0, result.tally().windows()), () -> result.text(true));
+    }
+
     /** A zone is cut off from the other for two seconds; what is there serves on. */
     @Test
     void zonesAreCutFromEachOther() throws Exception {
--- a/src/test/java/eiderscale/ledger/Mutants.java
+++ b/src/test/java/eiderscale/ledger/Mutants.java
@@ -41,6 +41,8 @@
         ENDLESS,
         /** A refusal is not counted. */
         NOT_COUNTED,
+        /** A standstill is not noticed. */
+        BEGINS_BLIND,
         /** A client is told that asking again does no harm, whatever has run. */
         REFUSES_ANYTHING
     }
@@ -60,13 +62,22 @@
             }
 
             @Override
-            boolean close(Exchange<W, C, L, A> exchange) {
+            public void stoodStill(long now) {
+                if (wrong == Wrong.BEGINS_BLIND) {
+                    actions.recheck();
+                } else {
+                    super.stoodStill(now);
+                }
+            }
+
+            @Override
+            boolean close(Exchange<W, C, L, A> exchange, boolean served) {
                 if (wrong == Wrong.ANSWERS_AGAIN) {
-                    boolean first = super.close(exchange);
+                    boolean first = super.close(exchange, served);
                     exchange.over = false;
                     return first;
                 }
-                boolean first = super.close(exchange);
+                boolean first = super.close(exchange, served);
                 if (wrong == Wrong.LAST_CALL_STAYS && first) {
                     actions.arm(exchange, exchange.deadline);
                 }
--- a/src/test/java/eiderscale/net/TimersTest.java
+++ b/src/test/java/eiderscale/net/TimersTest.java
@@ -19,7 +19,7 @@
 class TimersTest {
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
-    private final Timers timers = new Timers(loop, new Counters());
+    private final Timers timers = new Timers(loop, new Counters(), () -> { });
     private final List<Long> early = new ArrayList<>();
     private final List<Integer> fired = new ArrayList<>();
 
