What a sidecar knows outlives its process, and is believed by its age and origin

Need: after SIGKILL a sidecar knew operators' calls alone, where a folder for upgrades is named, and could not say which unsafe writes may have run; nothing told it that what it finds may be another's, a copy, or from a time that has not come yet.

Change: `[state] folder`, off without it and on the platform (ArchUnit). `knowledge.Origin` (name, incarnation, place of the file, moment) tells own, moved, another's and from later; `knowledge.Recalled` says what each is believed for: a call that a host is out of anybody, what was learnt by its age of one's own and only for what is worse of others, a list for 10 s and never before discovery is asked anew (requests wait for that, as behind a standstill). `durable = true` for unsafe and keyed classes: the ledger begins a request when it is on disk, and refuses it at once where it cannot be. `stairshelf state show|verify|may-have-run|compact|export|import`.

Seen on the way: MVStore breaks on spoilt files by AssertionError as well, so that all is read once at the start, while the file can be moved aside; a copy that is made back over its original gets the same inode, so that the time of the last write counts too; the signature and what it signs must go in one commit, or a crash between them orphans an operator's call.

--- a/src/main/java/eiderscale/config/AppFile.java
+++ b/src/main/java/eiderscale/config/AppFile.java
@@ -116,6 +116,22 @@
         return operators.has("folder") ? operators.text("folder") : null;
     }
 
+    /** The folder for what outlives the process, as this file names it; null where nothing is kept. */
+    public String stateFolder() {
+        Values state = good().values().table("state");
+        return state.has("folder") ? state.text("folder") : null;
+    }
+
+    /** How often what was learnt is kept, in nanoseconds. */
+    public long stateEvery() {
+        return good().values().table("state").whole("every");
+    }
+
+    /** How old a list from before a start may be to be served by, in nanoseconds. */
+    public long stateList() {
+        return good().values().table("state").whole("list");
+    }
+
     /** The application's name. */
     public String application() {
         return good().name();
--- a/src/main/java/eiderscale/config/Application.java
+++ b/src/main/java/eiderscale/config/Application.java
@@ -217,6 +217,7 @@
         site.maxOpen = (int) values.table("limits").whole("open-requests");
         site.joining = joining(kind);
         site.hostKind = kind;
+        site.durable = values.tables("classes").stream().map(c -> c.flag("durable")).toList();
         site.routes = routeTable();
         site.classes = numbers(classes.stream().map(ServiceClass::name).toList());
         site.tenants = numbers(values.tables("tenants").stream().map(t -> t.text("name")).toList());
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -376,6 +376,11 @@
                 report.error(at + (values.states("window") ? ".window" : ".group"), "says nothing here",
                         "only for keyed classes", at + ".effect");
             }
+            if (values.flag("durable") && c.effect() == Effect.RETRYABLE) {
+                report.error(at + ".durable", "says nothing here", "only for unsafe and keyed classes", at + ".effect");
+            } else if (values.flag("durable") && !app.values().table("state").has("folder")) {
+                report.error(at + ".durable", "needs a place to be kept", "state.folder", "state.folder");
+            }
             if (keyed && c.operation() == Operation.READ) {
                 report.warn(at + ".operation", "a read that is keyed", at + ".effect");
             }
--- a/src/main/java/eiderscale/config/Site.java
+++ b/src/main/java/eiderscale/config/Site.java
@@ -2,6 +2,7 @@
 
 import eiderscale.Api;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -39,6 +40,8 @@
     public final HostKind hostKind;
     /** Picks the class of a request; null where clients name it and nothing else counts. */
     public final Routes routes;
+    /** Which classes are to be on record before anything of them goes out, by their numbers. */
+    private final List<Boolean> durable;
     /** What is said of HTTP; null where nothing is. */
     public final HttpRules http;
     private final String defaultTenant;
@@ -60,6 +63,7 @@
         HostKind hostKind = HostKind.META;
         Routes routes;
         HttpRules http;
+        List<Boolean> durable = List.of();
         /** The tenant of clients that name none; null if they must. */
         String defaultTenant;
         Map<String, Integer> classes = Map.of();
@@ -95,6 +99,7 @@
         hostKind = from.hostKind;
         routes = from.routes;
         http = from.http;
+        durable = List.copyOf(from.durable);
         defaultTenant = from.defaultTenant;
         classes = Map.copyOf(from.classes);
         tenants = Map.copyOf(from.tenants);
@@ -109,6 +114,17 @@
                 && connectTimeout == other.connectTimeout && idleTime == other.idleTime && maxOpen == other.maxOpen;
     }
 
+    /** Whether requests of a class are to be on record before anything of them goes out. */
+    public boolean isDurable(int requestClass) {
+        return requestClass < durable.size() && durable.get(requestClass);
+    }
+
+    /** The name of a request class. */
+    public String className(int requestClass) {
+        return classes.entrySet().stream().filter(one -> one.getValue() == requestClass).map(Map.Entry::getKey).findFirst()
+                .orElse("");
+    }
+
     /** The number of a request class, or null for a name that the settings do not hold. */
     public Integer requestClass(String name) {
         return name == null ? null : classes.get(name);
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -56,6 +56,14 @@
                                     + "share, relative to this file: with it the new one may be started while the "
                                     + "old one serves, and hosts that are out stay out. Left out: they share "
                                     + "nothing.").atRestart()),
+                    section("state", false, "What outlives the process.",
+                            Key.of("folder", Type.TEXT, "A folder of this balancer's own, relative to this file, for what it knows. "
+                                    + "Left out: nothing is kept.").atRestart(),
+                            Key.of("every", Type.DURATION, "How often what was learnt is kept; operators' calls are at once.")
+                                    .or(2 * SECOND).within(100 * MS, MINUTE).atRestart(),
+                            Key.of("list", Type.DURATION, "How old a list of discovery's may be to be served by after a start; it is "
+                                    + "asked anew first, and this counts where no answer comes.").or(10 * SECOND)
+                                    .within(0, 10 * MINUTE).atRestart()),
                     section("limits", false, "What the process may use.",
                             Key.of("memory", Type.SIZE, "Memory of the process; open requests must fit into it.")
                                     .or(192 * MB).within(96 * MB, 64 * GB).atRestart(),
@@ -206,7 +214,10 @@
                             Key.of("group", Type.CHOICE, "The hosts that drop repeats for one another; keyed "
                                     + "classes only.").or("all").from("all", "zone", "cell"),
                             Key.of("in-order", Type.FLAG, "Whether requests for one key run one at a time.")
-                                    .or(false)),
+                                    .or(false),
+                            Key.of("durable", Type.FLAG, "Whether each request is on disk before anything of it goes out, so that "
+                                    + "`stairshelf state may-have-run` names it after a crash; for unsafe and keyed classes, with "
+                                    + "state.folder.").or(false)),
                     section("routes", true, "Which requests are of which class. Of those that match, the one with "
                                     + "the longest prefix counts.",
                             Key.of("prefix", Type.PREFIX, "The beginning of their keys.").or(""),
--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -5,6 +5,7 @@
 import eiderscale.control.Operators;
 import eiderscale.knowledge.Belief;
 import eiderscale.knowledge.Knowledge;
+import eiderscale.knowledge.Recalled;
 import eiderscale.knowledge.Refused;
 import eiderscale.maintenance.Maintenance;
 import eiderscale.net.Clock;
@@ -15,6 +16,7 @@
 import io.netty.util.concurrent.Promise;
 import io.netty.util.concurrent.PromiseCombiner;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -29,6 +31,7 @@
     private final List<Node> nodes;
     private final String balancer;
     private final Succession succession;
+    private Consumer<Knowledge> onCalls = calls -> { };
 
     private Duty(List<Node> nodes, String balancer, Succession succession) {
         this.nodes = List.copyOf(nodes);
@@ -78,6 +81,35 @@
         return nodes.get(0);
     }
 
+    /** Takes over what was kept on disk; whether there was a list among it, which is to be asked anew before it serves. */
+    public boolean recall(Recalled kept) {
+        merge(kept.calls());
+        Node node = first();
+        boolean listed = false;
+        if (kept.list() != null && node.source() != null && node.source().toString().equals(kept.list().source())) {
+            try {
+                node.recall(Catalog.kept(kept.list().list(), node.site()));
+                listed = true;
+            } catch (ConfigException e) {
+                Counters.log("state: " + e.getMessage());
+            }
+        }
+        if (kept.learnt() != null) {
+            node.recall(kept.learnt());
+        }
+        return listed;
+    }
+
+    /** Hears of each change in operators' calls, with all of them. */
+    public void onCalls(Consumer<Knowledge> listener) {
+        onCalls = listener;
+    }
+
+    /** All that is to be kept. */
+    public Knowledge known() {
+        return all();
+    }
+
     private void recall(Knowledge knowledge) {
         Node node = first();
         merge(knowledge.calls());
@@ -105,7 +137,7 @@
         nodes.forEach(node -> node.merge(calls));
     }
 
-    private List<Maintenance.Call> known() {
+    private List<Maintenance.Call> calls() {
         return nodes.stream().flatMap(node -> node.calls().stream()).toList();
     }
 
@@ -114,12 +146,12 @@
         Catalog list = node.list();
         Knowledge.Hosts hosts = node.source() == null || list.rev() < 0 ? null
                 : new Knowledge.Hosts(node.source().toString(), list.keep(node.site()));
-        return new Knowledge(balancer, known(), hosts, node.learnt());
+        return new Knowledge(balancer, calls(), hosts, node.learnt());
     }
 
-    /** What both must know at once. */
-    private Knowledge calls() {
-        return new Knowledge(balancer, known(), null, null);
+    /** Operators' calls alone: what both processes of an upgrade must know at once. */
+    public Knowledge called() {
+        return new Knowledge(balancer, calls(), null, null);
     }
 
     /** Takes over calls that the other process has had. */
@@ -131,7 +163,8 @@
         try {
             Knowledge told = Knowledge.decode(balancer, shared);
             merge(told.calls());
-            if (!told.calls().containsAll(known())) {
+            onCalls.accept(called());
+            if (!told.calls().containsAll(calls())) {
                 // Both were called in the same moment: what it has overwritten is told again.
                 tell();
             }
@@ -141,7 +174,9 @@
     }
 
     private void tell() {
-        if (!succession.share(calls().encode())) {
+        Knowledge all = called();
+        onCalls.accept(all);
+        if (!succession.share(all.encode())) {
             Counters.log("hand-over: calls are known to this process alone");
         }
     }
--- a/src/main/java/eiderscale/http/HttpCall.java
+++ b/src/main/java/eiderscale/http/HttpCall.java
@@ -42,6 +42,11 @@
         return upload != null || body.length > 0;
     }
 
+    @Override
+    public String label() {
+        return method + " " + target.authority() + target.path();
+    }
+
     @Override
     public String id() {
         return id;
--- a/src/main/java/eiderscale/knowledge/Belief.java
+++ b/src/main/java/eiderscale/knowledge/Belief.java
@@ -19,6 +19,8 @@
     static final long FORGET = 10_000_000_000L;
     /** Digests, latencies and hot keys older than this tell of another hour. */
     static final long CURRENT = 30_000_000_000L;
+    /** A breaker that somebody else speaks of holds for so long. */
+    static final long DOUBTED = 1_000_000_000L;
     /** Of each host's slow start, the sends that are left at the most: the one that told went on sending. */
     private static final double MOST_TOKENS = 1;
 
@@ -48,6 +50,19 @@
                 current ? told.counted() : 0, told.reports());
     }
 
+    /**
+     * What to take over at {@code now} of a word whose age or origin is in doubt: only what makes a host look worse, and that no
+     * longer than a breaker's own life ({@link #DOUBTED}). A slow start is kept, with nothing left to send; breakers, so far as they
+     * are open; no latency, pressure or hot key. A lie can hold a host back for that time, and nothing else.
+     */
+    public static Learnt careful(Learnt told, long now) {
+        List<HostWord> hosts = told.hosts().stream().map(host -> new HostWord(host.id(), Math.min(now, host.startedAt()),
+                host.coldSince() == 0 ? 0 : Math.min(now, host.coldSince()), 0, now, 0, 0,
+                host.openUntil() > now ? Math.min(host.openUntil(), now + DOUBTED) : 0)).toList();
+        return new Learnt(now, hosts, List.of(), new Fleet(1, 0, 0, now, 0, 0), new Pressure(1, 1, now, 0, 0, 0),
+                new Latency(List.of(), List.of(), now, 0), List.of(), 0, false);
+    }
+
     private static HostWord host(HostWord told, double kept, boolean current, long now) {
         boolean open = told.openUntil() > now;
         return new HostWord(told.id(), told.startedAt(), told.coldSince(), Math.min(MOST_TOKENS, told.tokens()),
--- a/src/main/java/eiderscale/ledger/Exchange.java
+++ b/src/main/java/eiderscale/ledger/Exchange.java
@@ -15,12 +15,17 @@
     /** The latest moment for a final answer. */
     long deadline;
     int pending;
+    /** It is on record, or about to be; until that is sure it does not begin. */
+    boolean recorded;
+    boolean unsure;
     /** The module has been told of it. */
     boolean begun;
     /** Answered, or the client is gone: nothing is owed and nothing new goes out. */
     boolean over;
     /** The attempt whose answer has begun and went to the client; null before that. */
     Attempt<W, C, L, A> streaming;
+    /** Its client has a final answer. */
+    boolean answered;
     /** Some attempt may have run. */
     boolean mayHaveRun;
     private final W work;
@@ -35,6 +40,11 @@
         this.deadline = deadline;
     }
 
+    /** Its number among all that this ledger has taken. */
+    public long number() {
+        return id;
+    }
+
     /** What was asked. */
     public W work() {
         return work;
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -181,13 +181,45 @@
             openIds.add(work.id());
         }
         actions.arm(exchange, deadline + LAST_CALL);
+        if (current.terms.isDurable(work.requestClass())) {
+            exchange.recorded = true;
+            exchange.unsure = true;
+            actions.record(exchange);
+        } else {
+            beginInTurn(exchange);
+        }
+        return exchange;
+    }
+
+    /** A request is on record: it may begin. */
+    public void recorded(long now, Exchange<W, C, L, A> exchange) {
+        enter(now);
+        exchange.unsure = false;
+        if (exchange.over) {
+            actions.unrecord(exchange, true);
+        } else {
+            beginInTurn(exchange);
+        }
+    }
+
+    /** It cannot be put on record: it is refused, as nothing of it went out. */
+    public void unrecorded(long now, Exchange<W, C, L, A> exchange) {
+        enter(now);
+        exchange.recorded = false;
+        if (!exchange.over) {
+            counts.localRefusals++;
+            answerRefused(exchange, 0);
+            forget(exchange);
+        }
+    }
+
+    private void beginInTurn(Exchange<W, C, L, A> exchange) {
         if (waiting.isEmpty() && recovery.mayBegin()) {
             begin(exchange);
         } else {
             counts.held++;
             waiting.add(exchange);
         }
-        return exchange;
     }
 
     private void begin(Exchange<W, C, L, A> exchange) {
@@ -482,6 +514,7 @@
             counts.served++;
             close(exchange, true);
             exchange.streaming = attempt;
+            exchange.answered = true;
             actions.served(exchange, answer);
             exchange.generation.module.onFirstByte(time, exchange.id, attempt.number);
         });
@@ -511,6 +544,7 @@
             if (reason == Reason.OK && !exchange.over) {
                 counts.served++;
                 close(exchange, true);
+                exchange.answered = true;
                 actions.served(exchange, answer);
             }
             exchange.last(reason == Reason.OK ? null : answer);
@@ -630,6 +664,9 @@
 
     void forget(Exchange<W, C, L, A> exchange) {
         if (exchange.over && exchange.pending == 0 && exchanges.remove(exchange.id) != null) {
+            if (exchange.recorded && !exchange.unsure) {
+                actions.unrecord(exchange, exchange.answered || !exchange.mayHaveRun);
+            }
             budget.giveBack(exchange.work().heldBytes());
             if (--exchange.generation.exchanges == 0) {
                 dropIdle();
@@ -641,6 +678,7 @@
         counts.refused++;
         if (close(exchange, false)) {
             Api.Settings settings = exchange.generation.terms.settings();
+            exchange.answered = true;
             actions.refused(exchange, settings.retryAfter() ? Math.min(wait, settings.maxRetryAfter()) : 0);
         }
     }
@@ -648,6 +686,7 @@
     private void answerFailed(Exchange<W, C, L, A> exchange) {
         counts.failed++;
         if (close(exchange, false)) {
+            exchange.answered = true;
             actions.failed(exchange);
         }
     }
--- a/src/main/java/eiderscale/ledger/LedgerActions.java
+++ b/src/main/java/eiderscale/ledger/LedgerActions.java
@@ -49,6 +49,18 @@
     /** Follows the list of hosts. */
     void subscribe();
 
+    /**
+     * Puts a request on record before anything of it goes out; {@link Ledger#recorded} or {@link Ledger#unrecorded} is to be told,
+     * perhaps before this returns.
+     */
+    default void record(Exchange<W, C, L, A> exchange) {
+        throw new IllegalStateException("nothing keeps records here");
+    }
+
+    /** A request on record is over: {@code told}: its client has its answer, or nothing of it can run. */
+    default void unrecord(Exchange<W, C, L, A> exchange, boolean told) {
+    }
+
     /**
      * Asks for the list anew, at once, as what is known of it may be old: a call that begins now, whose end is told as a list or
      * as a call that failed, and then by {@link Ledger#rechecked}. False where lists come by themselves, or there is nobody to ask.
--- a/src/main/java/eiderscale/ledger/Terms.java
+++ b/src/main/java/eiderscale/ledger/Terms.java
@@ -12,6 +12,11 @@
         return settings().drainGrace();
     }
 
+    /** Whether requests of a class are to be on record before anything of them goes out. */
+    default boolean isDurable(int requestClass) {
+        return false;
+    }
+
     /** Requests that may be owed an answer at one time. */
     int maxOpen();
 
--- a/src/main/java/eiderscale/meta/MetaCommand.java
+++ b/src/main/java/eiderscale/meta/MetaCommand.java
@@ -197,6 +197,11 @@
         throw new Malformed("bad " + name);
     }
 
+    @Override
+    public String label() {
+        return (write ? "ms " : "mg ") + key;
+    }
+
     @Override
     public String id() {
         return opaque;
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -41,6 +41,11 @@
             return site.settings;
         }
 
+        @Override
+        public boolean isDurable(int requestClass) {
+            return site.isDurable(requestClass);
+        }
+
         @Override
         public int maxOpen() {
             return site.maxOpen;
@@ -61,6 +66,11 @@
     private final HostPool pool;
     private final Discovery discovery;
     private final Heartbeat heartbeat = new Heartbeat(Clock.now(), STOOD);
+    private final EventLoop loop;
+    private Journal journal;
+    /** It asks though nobody has watched yet. */
+    private boolean returning;
+    private String journalRun = "";
     private Site site;
     private long lastOwnId;
 
@@ -68,6 +78,7 @@
              HostProtocol protocol, int mostConnections, Maintenance maintenance) {
         this.site = config.site();
         this.timers = new Timers(loop, counters, this::look);
+        this.loop = loop;
         this.counters = counters;
         this.pool = new HostPool(site, loop, counters, protocol, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
@@ -238,6 +249,13 @@
         }
     }
 
+    /** It has come back with a list from before. */
+    void returns() {
+        returning = true;
+        ledger.stoodStill(Clock.now());
+        returning = false;
+    }
+
     private void stoodStill() {
         Counters.log("stood still: asks for the list before it goes on");
         ledger.stoodStill(Clock.now());
@@ -324,9 +342,39 @@
         discovery.subscribe();
     }
 
+    /** Where durable classes are kept on record; {@code run}: names this process and pool. */
+    void journal(Journal kept, String run) {
+        journal = kept;
+        journalRun = run;
+    }
+
+    private String entryOf(Exchange<Request, Client, HostPool.Link, Answer> exchange) {
+        return journalRun + "." + exchange.number();
+    }
+
+    @Override
+    public void record(Exchange<Request, Client, HostPool.Link, Answer> exchange) {
+        if (journal == null) {
+            ledger.unrecorded(Clock.now(), exchange);
+            return;
+        }
+        Request work = exchange.work();
+        Site its = ((SiteTerms) exchange.terms()).site();
+        byte[] entry = Entry.of(its.className(work.requestClass()), work.id(), work.label(), Clock.now());
+        journal.enter(entryOf(exchange), entry, () -> loop.execute(() -> ledger.recorded(Clock.now(), exchange)),
+                () -> loop.execute(() -> ledger.unrecorded(Clock.now(), exchange)));
+    }
+
+    @Override
+    public void unrecord(Exchange<Request, Client, HostPool.Link, Answer> exchange, boolean told) {
+        if (told) {
+            journal.leave(entryOf(exchange));
+        }
+    }
+
     @Override
     public boolean recheck() {
-        return discovery.recheck();
+        return returning ? discovery.ask() : discovery.recheck();
     }
 
     @Override
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -106,10 +106,17 @@
      * all, as it says one thing and ends. False, and nothing is done, while nobody watches.
      */
     boolean recheck() {
-        if (current == null) {
+        return current != null && ask();
+    }
+
+    /** The same whether or not anybody watches; false where there is nobody to ask. */
+    boolean ask() {
+        if (address == null) {
             return false;
         }
-        current.drop();
+        if (current != null) {
+            current.drop();
+        }
         current = new Call(true);
         current.start();
         return current != null;
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -174,6 +174,18 @@
         maintenance.merge(calls).forEach(this::retell);
     }
 
+    /** Where durable classes are kept on record; {@code run}: names this process. To be called before it starts. */
+    public void journal(Journal journal, String run) {
+        for (int i = 0; i < balancers.size(); i++) {
+            balancers.get(i).journal(journal, run + "-" + i);
+        }
+    }
+
+    /** Asks for the list at once, and begins nothing until that is told or takes too long: what is known of it may be old. */
+    public void recheck() {
+        balancers.forEach(Balancer::returns);
+    }
+
     /** Lets other processes of the same user listen at its addresses as well; to be called before it starts. */
     public void share() {
         server.share();
--- a/src/main/java/eiderscale/net/Request.java
+++ b/src/main/java/eiderscale/net/Request.java
@@ -7,6 +7,9 @@
     /** How long its client waits, in milliseconds from its arrival. */
     long waitMs();
 
+    /** What it is about, for staff: a key, a method and a path. */
+    String label();
+
     @Override
     default long waitNs() {
         return waitMs() * Clock.MILLISECOND;
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -15,12 +15,14 @@
 import eiderscale.knowledge.Knowledge;
 import eiderscale.http.HttpProtocol;
 import eiderscale.meta.MetaProtocol;
+import eiderscale.knowledge.Recalled;
 import eiderscale.net.Counters;
 import eiderscale.net.Node;
 import eiderscale.net.Totals;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -54,6 +56,8 @@
     private final List<InetSocketAddress> httpAddresses;
     private final InetSocketAddress control;
     private final Duty duty;
+    /** Null where nothing is kept. */
+    private final State state;
     private final ScheduledExecutorService files;
     /** Files thread only, from here on. */
     private AppFile current;
@@ -92,6 +96,13 @@
         Succession succession = Succession.enter(folder(file, app), app.application());
         Knowledge told = Duty.ask(succession, app.application(), seed);
         this.duty = loop.submit(() -> Duty.take(nodes, app.application(), succession, told)).get();
+        this.state = app.stateFolder() == null ? null : State.open(file.toAbsolutePath().resolveSibling(app.stateFolder()),
+                app.application(), log);
+        if (state != null) {
+            // A process that still serves knows better than the disk.
+            Recalled kept = told == null ? state.recalled(app.stateList()) : null;
+            loop.submit(() -> begin(nodes, kept)).get();
+        }
         if (app.sharedFolder() != null) {
             nodes.forEach(Node::share);
         }
@@ -104,6 +115,9 @@
             thread.setDaemon(true);
             return thread;
         });
+        if (state != null) {
+            files.scheduleWithFixedDelay(this::keep, app.stateEvery(), app.stateEvery(), TimeUnit.NANOSECONDS);
+        }
         if (watched != null) {
             files.scheduleWithFixedDelay(this::look, app.hostsPoll(), app.hostsPoll(), TimeUnit.NANOSECONDS);
         }
@@ -284,6 +298,40 @@
         }
     }
 
+    /** On the loop: takes over what was kept, and keeps what comes. */
+    private void begin(List<Node> nodes, Recalled kept) {
+        if (kept != null) {
+            boolean listed = duty.recall(kept);
+            log.accept("state: believes " + kept.calls().size() + " calls, " + (kept.learnt() == null ? 0 : kept.learnt().hosts().size())
+                    + " hosts' words" + (listed ? ", and a list, which is asked anew first" : ""));
+            if (listed) {
+                nodes.get(0).recheck();
+            }
+        }
+        state.sign(duty.called(), duty.known());
+        duty.onCalls(state::keepCalls);
+        for (Node one : nodes) {
+            one.journal(state.journal(loop), state.run());
+        }
+    }
+
+    private void keep() {
+        try {
+            boolean wasOpen = state.isOpen();
+            state.tryOpen();
+            if (!wasOpen && state.isOpen()) {
+                loop.submit(() -> begin(Stream.of(node, http).filter(Objects::nonNull).toList(), null)).get();
+            }
+            if (state.isOpen()) {
+                state.keep(loop.submit(duty::known).get());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | RuntimeException e) {
+            log.accept("state: not kept: unexpected " + e);
+        }
+    }
+
     /** Looks whether the file of hosts has changed. */
     private void look() {
         try {
@@ -323,7 +371,20 @@
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     public Future<Void> stop() throws InterruptedException, ExecutionException {
         files.shutdown();
-        return loop.submit(() -> duty.stop(loop)).get();
+        return loop.submit(() -> {
+            if (state != null) {
+                state.keep(duty.known());
+            }
+            Promise<Void> ended = loop.newPromise();
+            // A disk that hangs must not hold up the loop, on which others are still answered.
+            duty.stop(loop).addListener(done -> new Thread(() -> {
+                if (state != null) {
+                    state.close();
+                }
+                ended.setSuccess(null);
+            }, "stop of state").start());
+            return ended;
+        }).get();
     }
 
     /** The usual log: standard error. */
--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -141,6 +141,20 @@
     static final ArchRule VALUES_KNOW_NOBODY = noClasses().that().resideInAPackage("eiderscale.values").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.values"))));
 
+    /** The store keeps bytes under names, and is loaded by nobody on the platform. */
+    @ArchTest
+    static final ArchRule THE_STORE_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale.store").should()
+            .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.store"))));
+
+    @ArchTest
+    static final ArchRule ONLY_THE_STORE_KNOWS_ITS_ENGINE = noClasses().that().resideOutsideOfPackage("eiderscale.store").should()
+            .dependOnClassesThat().resideInAnyPackage("org.h2..");
+
+    @ArchTest
+    static final ArchRule THE_PLATFORM_KEEPS_NOTHING_ON_DISK = noClasses().that().resideInAnyPackage("eiderscale.platform",
+            "eiderscale.meta", "eiderscale.net", "eiderscale.sim").should().transitivelyDependOnClassesThat()
+            .resideInAnyPackage("eiderscale.store", "org.h2..");
+
     @ArchTest
     static final ArchRule RECOVERY_KNOWS_NOBODY = noClasses().that().resideInAPackage("eiderscale.recovery").should()
             .dependOnClassesThat(resideInAPackage("eiderscale..").and(DescribedPredicate.not(resideInAPackage("eiderscale.recovery"))));
