An instance that lost its folder asks its peers, in turn, and they answer within a cap

Need: a call that a host is out was lost with the folder, though other instances of the balancer knew of it.

Change: `[peers] control` names other instances' operators' addresses; the call KNOWN there is answered with the knowledge record, and on the platform as any unknown call.

Result: two processes: the folder deleted, the first request of all keeps to the call; by its own folder nobody is asked. Peers that are dead, silent, noisy, another application's or say "later" for ever cost their word alone.

--- a/src/main/java/eiderscale/config/AppFile.java
+++ b/src/main/java/eiderscale/config/AppFile.java
@@ -116,6 +116,12 @@
         return operators.has("folder") ? operators.text("folder") : null;
     }
 
+    /** Where other instances are called; empty for none. */
+    public List<InetSocketAddress> peers() {
+        Values peers = good().values().table("peers");
+        return peers.has("control") ? peers.list("control").stream().map(InetSocketAddress.class::cast).toList() : List.of();
+    }
+
     /** The folder for what outlives the process, as this file names it; null where nothing is kept. */
     public String stateFolder() {
         Values state = good().values().table("state");
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -44,6 +44,7 @@
         checks.listeners();
         checks.limits();
         checks.operators();
+        checks.peers();
         checks.pool(exists);
         checkHosts(app.hosts(), app.values().table("fleet").list("zones"), app.values().flag("allow-non-loopback"),
                 report);
@@ -157,6 +158,22 @@
                 + limits.whole("descriptors") * DESCRIPTOR_BYTES / 2 + HEAP_BYTES;
     }
 
+    private void peers() {
+        Values peers = app.values().table("peers");
+        if (!peers.has("control")) {
+            return;
+        }
+        for (Object peer : peers.list("control")) {
+            if (!((InetSocketAddress) peer).getAddress().isLoopbackAddress() && !app.values().flag("allow-non-loopback")) {
+                report.error("peers.control", Type.address((InetSocketAddress) peer) + " is not loopback",
+                        "addresses of 127.0.0.0/8 or [::1], or allow-non-loopback = true", "allow-non-loopback");
+            }
+        }
+        if (!app.values().table("operators").has("control")) {
+            report.error("peers.control", "peers cannot ask this one", "operators.control", "operators.control");
+        }
+    }
+
     private void operators() {
         Values operators = app.values().table("operators");
         if (operators.get("control") instanceof InetSocketAddress address) {
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -37,6 +37,8 @@
             Key.of("started", Type.TIME, "When it last started; it is spared while it is cold. Long ago if left "
                     + "out."));
 
+    private static final int MOST_PEERS = 1000;
+
     /** What a watched file of hosts holds. */
     static final Section HOSTS_FILE = new Section("", false, "The cache hosts of a pool.",
             List.of(Key.of("hosts", Type.HOSTS, "The cache hosts.").needed().within(1, MOST_HOSTS)), List.of());
@@ -64,6 +66,10 @@
                             Key.of("list", Type.DURATION, "How old a list of discovery's may be to be served by after a start; it is "
                                     + "asked anew first, and this counts where no answer comes.").or(10 * SECOND)
                                     .within(0, 10 * MINUTE).atRestart()),
+                    section("peers", false, "Other instances of this application's balancer, whose word is asked for after a start "
+                                    + "where state.folder holds nothing of this one's own; they are told what is known here.",
+                            Key.of("control", Type.ADDRESSES, "Where they are called: their operators.control.")
+                                    .within(1, MOST_PEERS).atRestart()),
                     section("limits", false, "What the process may use.",
                             Key.of("memory", Type.SIZE, "Memory of the process; open requests must fit into it.")
                                     .or(192 * MB).within(96 * MB, 64 * GB).atRestart(),
--- a/src/main/java/eiderscale/control/Operators.java
+++ b/src/main/java/eiderscale/control/Operators.java
@@ -8,6 +8,11 @@
     /** Nothing more to a host, by the id that discovery gives it; false, with nothing changed, for an unknown one. */
     boolean takeOut(String id);
 
+    /** The whole answer to another instance that asks what is known here; null where nothing is told. */
+    default String known() {
+        return null;
+    }
+
     /** Puts a host back; false, with nothing changed, for an unknown one. */
     boolean putBack(String id);
 }
--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * A balancer's service as one process does it, perhaps beside another one: what operators call is known to both, a
@@ -31,6 +32,7 @@
     private final List<Node> nodes;
     private final String balancer;
     private final Succession succession;
+    private Supplier<String> onAsked = () -> null;
     private Consumer<Knowledge> onCalls = calls -> { };
 
     private Duty(List<Node> nodes, String balancer, Succession succession) {
@@ -106,7 +108,7 @@
     }
 
     /** All that is to be kept. */
-    public Knowledge known() {
+    public Knowledge record() {
         return all();
     }
 
@@ -181,6 +183,16 @@
         }
     }
 
+    /** What other instances are answered that ask what is known here. */
+    public void onAsked(Supplier<String> answer) {
+        onAsked = answer;
+    }
+
+    @Override
+    public String known() {
+        return onAsked.get();
+    }
+
     @Override
     public boolean takesClients() {
         return nodes.stream().allMatch(Node::takesClients);
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -16,6 +16,7 @@
 import eiderscale.http.HttpProtocol;
 import eiderscale.meta.MetaProtocol;
 import eiderscale.knowledge.Recalled;
+import eiderscale.net.Clock;
 import eiderscale.net.Counters;
 import eiderscale.net.Node;
 import eiderscale.net.Totals;
@@ -98,11 +99,21 @@
         this.duty = loop.submit(() -> Duty.take(nodes, app.application(), succession, told)).get();
         this.state = app.stateFolder() == null ? null : State.open(file.toAbsolutePath().resolveSibling(app.stateFolder()),
                 app.application(), log);
-        if (state != null) {
-            // A process that still serves knows better than the disk.
-            Recalled kept = told == null ? state.recalled(app.stateList()) : null;
-            loop.submit(() -> begin(nodes, kept)).get();
-        }
+        Peers peers = app.peers().isEmpty() ? null : new Peers(app.application(), control, app.peers(), seed, log);
+        // A process that still serves knows better than the disk, and one's own folder better than another instance.
+        Recalled heard = peers != null && told == null && (state == null || !state.isOwn()) ? peers.first() : null;
+        Recalled kept = state != null && told == null ? state.recalled(app.stateList()) : null;
+        loop.submit(() -> {
+            if (heard != null) {
+                duty.recall(heard);
+            }
+            if (state != null) {
+                begin(nodes, kept);
+            }
+            if (peers != null) {
+                duty.onAsked(() -> peers.answer(Clock.now(), duty::record));
+            }
+        }).get();
         if (app.sharedFolder() != null) {
             nodes.forEach(Node::share);
         }
@@ -115,6 +126,9 @@
             thread.setDaemon(true);
             return thread;
         });
+        if (peers != null && told == null && heard == null && (state == null || !state.isOwn())) {
+            peers.goOn(files, later -> loop.execute(() -> duty.recall(later)));
+        }
         if (state != null) {
             files.scheduleWithFixedDelay(this::keep, app.stateEvery(), app.stateEvery(), TimeUnit.NANOSECONDS);
         }
@@ -308,7 +322,7 @@
                 nodes.get(0).recheck();
             }
         }
-        state.sign(duty.called(), duty.known());
+        state.sign(duty.called(), duty.record());
         duty.onCalls(state::keepCalls);
         for (Node one : nodes) {
             one.journal(state.journal(loop), state.run());
@@ -323,7 +337,7 @@
                 loop.submit(() -> begin(Stream.of(node, http).filter(Objects::nonNull).toList(), null)).get();
             }
             if (state.isOpen()) {
-                state.keep(loop.submit(duty::known).get());
+                state.keep(loop.submit(duty::record).get());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -373,7 +387,7 @@
         files.shutdown();
         return loop.submit(() -> {
             if (state != null) {
-                state.keep(duty.known());
+                state.keep(duty.record());
             }
             Promise<Void> ended = loop.newPromise();
             // A disk that hangs must not hold up the loop, on which others are still answered.
--- a/src/main/java/eiderscale/sidecar/State.java
+++ b/src/main/java/eiderscale/sidecar/State.java
@@ -133,6 +133,11 @@
         }
     }
 
+    /** Whether what was found is this balancer's own. */
+    boolean isOwn() {
+        return store != null && standing == Standing.OWN;
+    }
+
     /** What is to be believed of what was found; {@code listHolds}: for how long a list may be served by, in nanoseconds. */
     Recalled recalled(long listHolds) {
         if (store == null || found == null) {
--- a/src/test/java/eiderscale/sidecar/StateTest.java
+++ b/src/test/java/eiderscale/sidecar/StateTest.java
@@ -217,6 +217,84 @@
         assertEquals("", said("state", "may-have-run", state().toString()));
     }
 
+    private String withPeers(List<InetSocketAddress> peers) {
+        return base().replace("[limits]", "[peers]\ncontrol = [" + peers.stream().map(peer -> "\"127.0.0.1:" + peer.getPort() + "\"")
+                .collect(java.util.stream.Collectors.joining(", ")) + "]\n\n[limits]");
+    }
+
+    /** The folder is lost, and another instance knows that a host is out: the first request of all keeps to that. */
+    @Test
+    void whatAnotherInstanceKnowsOutlivesTheFolder() throws Exception {
+        InetSocketAddress nobody = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        start(withPeers(List.of(nobody)).replace("folder = \"state\"", "folder = \"another\""));
+        assertTrue(call("OFFLINE second").startsWith("200"));
+        InetSocketAddress peer = at("operators call");
+        start(withPeers(List.of(peer)));
+        child.await(line -> line.contains("peers: told by"), Talk.LIMIT_MS);
+        long before = second.commands();
+        read(40);
+        assertEquals(before, second.commands());
+        child.kill();
+        start(withPeers(List.of(peer)));
+        at(" serves on 127.0.0.1:");
+        read(20);
+        assertEquals(before, second.commands(), "by its own folder");
+        assertTrue(child.log().stream().noneMatch(line -> line.contains("told by")), "and nobody was asked");
+    }
+
+    /** Peers that are dead, silent, noisy, endless, another application's, or put it off for ever: it starts, and hears the one that is good. */
+    @Test
+    void badPeersCostNothingButTheirWord() throws Exception {
+        start(withPeers(List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1))).replace("folder = \"state\"", "folder = \"another\""));
+        assertTrue(call("OFFLINE second").startsWith("200"));
+        InetSocketAddress good = at("operators call");
+        start(withPeers(List.of(good)).replace("folder = \"state\"", "folder = \"third\"").replace("application = \"portal\"",
+                "application = \"desk\""));
+        InetSocketAddress other = at("operators call");
+        List<java.net.ServerSocket> liars = new java.util.ArrayList<>();
+        try {
+            for (String answer : List.of("", "noise\n", "200 !!!\n", "200 aGVsbG8=\n", "400 later 99999999\n", "400 later -3\n", "400 later x\n")) {
+                liars.add(liar(answer));
+            }
+            List<InetSocketAddress> peers = new java.util.ArrayList<>(List.of(good, other, new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)));
+            liars.forEach(liar -> peers.add((InetSocketAddress) liar.getLocalSocketAddress()));
+            start(withPeers(peers));
+            at(" serves on 127.0.0.1:");
+            read(5);
+            child.await(line -> line.contains("peers: told by /127.0.0.1:" + good.getPort()), Talk.LIMIT_MS);
+            Fleet.await(() -> {
+                long before = second.commands();
+                read(20);
+                return second.commands() == before;
+            }, "it keeps to what the good one says");
+            assertEquals(0, child.stop(Talk.LIMIT_MS));
+        } finally {
+            for (java.net.ServerSocket liar : liars) {
+                liar.close();
+            }
+        }
+    }
+
+    /** Answers everybody the same, and nobody where that is empty. */
+    private static java.net.ServerSocket liar(String answer) throws IOException {
+        java.net.ServerSocket server = new java.net.ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> {
+            List<Socket> held = new java.util.ArrayList<>();
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    held.add(socket);
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                // The test is over.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        return server;
+    }
+
     /** With a list from before, nothing goes to a host that drained while the process was away, though discovery takes its time. */
     @Test
     void aListFromBeforeIsAskedAnewBeforeAnythingBegins() throws Exception {
