Instances find one another over UDP, and agree on who is there

Need: no instance knows how many others there are, so that no limit can be shared and no turn kept.

`View` has an epoch and whether it is the larger part. `[members]` of a sidecar's file, off without it and on the platform; `MEMBERS` at the operators' address, `stairshelf members [--watch]`.

--- a/src/main/java/eiderscale/cli/CtlCommand.java
+++ b/src/main/java/eiderscale/cli/CtlCommand.java
@@ -64,14 +64,19 @@
         return yes ? Stairshelf.GOOD : Stairshelf.CANNOT_RUN;
     }
 
-    private boolean ask(InetSocketAddress address, String line) throws IOException {
+    /** The answer to one call; null for none. */
+    static String ask(InetSocketAddress address, String line, int timeoutMs) throws IOException {
         try (Socket socket = new Socket()) {
             socket.setSoTimeout(timeoutMs);
             socket.connect(address, timeoutMs);
             socket.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1),
-                    MOST_ANSWER);
-            String answer = in.readLine();
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1), MOST_ANSWER).readLine();
+        }
+    }
+
+    private boolean ask(InetSocketAddress address, String line) throws IOException {
+        try {
+            String answer = ask(address, line, timeoutMs);
             if (answer == null) {
                 throw new IOException(control + " ended the connection without an answer");
             }
--- a/src/main/java/eiderscale/cli/Stairshelf.java
+++ b/src/main/java/eiderscale/cli/Stairshelf.java
@@ -12,7 +12,7 @@
         synopsisSubcommandLabel = "COMMAND", exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:good", "1:cannot run", "2:bad usage or a bad file"},
         subcommands = {SidecarCommand.class, ConfigCommand.class, DemoCommand.class, StandInCommand.class, LabCommand.class, FleetCommand.class,
-            PlanCommand.class, CtlCommand.class, StateCommand.class, CheckCommand.class, HelpCommand.class, AutoComplete.GenerateCompletion.class})
+            PlanCommand.class, CtlCommand.class, StateCommand.class, MembersCommand.class, CheckCommand.class, HelpCommand.class, AutoComplete.GenerateCompletion.class})
 public final class Stairshelf implements Runnable {
     static final int GOOD = 0;
     static final int CANNOT_RUN = 1;
--- a/src/main/java/eiderscale/config/AppFile.java
+++ b/src/main/java/eiderscale/config/AppFile.java
@@ -116,6 +116,22 @@
         return operators.has("folder") ? operators.text("folder") : null;
     }
 
+    /** Where datagrams of other members come; null where it is nobody's member. */
+    public InetSocketAddress memberListener() {
+        return (InetSocketAddress) good().values().table("members").get("listen");
+    }
+
+    /** Its name among members. */
+    public String memberName() {
+        return good().values().table("members").text("name");
+    }
+
+    /** Where other members listen. */
+    public List<InetSocketAddress> memberSeeds() {
+        Values members = good().values().table("members");
+        return members.has("seeds") ? members.list("seeds").stream().map(InetSocketAddress.class::cast).toList() : List.of();
+    }
+
     /** Where other instances are called; empty for none. */
     public List<InetSocketAddress> peers() {
         Values peers = good().values().table("peers");
--- a/src/main/java/eiderscale/config/Checks.java
+++ b/src/main/java/eiderscale/config/Checks.java
@@ -45,6 +45,7 @@
         checks.limits();
         checks.operators();
         checks.peers();
+        checks.members();
         checks.pool(exists);
         checkHosts(app.hosts(), app.values().table("fleet").list("zones"), app.values().flag("allow-non-loopback"),
                 report);
@@ -158,6 +159,25 @@
                 + limits.whole("descriptors") * DESCRIPTOR_BYTES / 2 + HEAP_BYTES;
     }
 
+    private static final int MOST_MEMBER_NAME = 16;
+
+    private void members() {
+        Values members = app.values().table("members");
+        if (members.has("listen") && !members.has("name")) {
+            report.error("members.name", "is missing", "a name of its own among the members", "members.listen");
+        } else if (!members.has("listen") && (members.has("name") || members.has("seeds"))) {
+            report.error("members." + (members.has("name") ? "name" : "seeds"), "says nothing here", "only with members.listen");
+        }
+        if (members.has("name") && members.text("name").length() > MOST_MEMBER_NAME) {
+            report.error("members.name", "is longer than " + MOST_MEMBER_NAME + " characters", "a shorter one");
+        }
+        if (members.get("listen") instanceof InetSocketAddress address && !address.getAddress().isLoopbackAddress()
+                && !app.values().flag("allow-non-loopback")) {
+            report.error("members.listen", Type.address(address) + " is not loopback",
+                    "an address of 127.0.0.0/8, or allow-non-loopback = true", "allow-non-loopback");
+        }
+    }
+
     private void peers() {
         Values peers = app.values().table("peers");
         if (!peers.has("control")) {
--- a/src/main/java/eiderscale/config/Spec.java
+++ b/src/main/java/eiderscale/config/Spec.java
@@ -70,6 +70,12 @@
                                     + "where state.folder holds nothing of this one's own; they are told what is known here.",
                             Key.of("control", Type.ADDRESSES, "Where they are called: their operators.control.")
                                     .within(1, MOST_PEERS).atRestart()),
+                    section("members", false, "Who else is there: instances of this application's balancer find one another over UDP.",
+                            Key.of("listen", Type.ADDRESS, "Where its datagrams come. Left out: it is nobody's member.").atRestart(),
+                            Key.of("name", Type.NAME, "Its name among them, of 16 characters at the most, the same over its restarts.")
+                                    .atRestart(),
+                            Key.of("seeds", Type.ADDRESSES, "Where others listen; one that lives is enough.")
+                                    .within(1, MOST_PEERS).atRestart()),
                     section("limits", false, "What the process may use.",
                             Key.of("memory", Type.SIZE, "Memory of the process; open requests must fit into it.")
                                     .or(192 * MB).within(96 * MB, 64 * GB).atRestart(),
--- a/src/main/java/eiderscale/control/Calls.java
+++ b/src/main/java/eiderscale/control/Calls.java
@@ -22,6 +22,10 @@
         if (words.length == 2 && (words[0].equals("OFFLINE") || words[0].equals("ONLINE"))) {
             return move(words[1], words[0].equals("OFFLINE"));
         }
+        if (words.length == 1 && words[0].equals("MEMBERS")) {
+            String members = operators.members();
+            return members == null ? "400 no members here" : "200 " + members;
+        }
         String known = words.length == 1 && words[0].equals("KNOWN") ? operators.known() : null;
         if (known != null) {
             return known;
--- a/src/main/java/eiderscale/control/Operators.java
+++ b/src/main/java/eiderscale/control/Operators.java
@@ -13,6 +13,11 @@
         return null;
     }
 
+    /** Who else is there, in words; null where that is not known here. */
+    default String members() {
+        return null;
+    }
+
     /** Puts a host back; false, with nothing changed, for an unknown one. */
     boolean putBack(String id);
 }
--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -32,6 +32,7 @@
     private final List<Node> nodes;
     private final String balancer;
     private final Succession succession;
+    private Supplier<String> onMembers = () -> null;
     private Supplier<String> onAsked = () -> null;
     private Consumer<Knowledge> onCalls = calls -> { };
 
@@ -183,6 +184,16 @@
         }
     }
 
+    /** How members are told of. */
+    public void onMembers(Supplier<String> words) {
+        onMembers = words;
+    }
+
+    @Override
+    public String members() {
+        return onMembers.get();
+    }
+
     /** What other instances are answered that ask what is known here. */
     public void onAsked(Supplier<String> answer) {
         onAsked = answer;
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -10,6 +10,7 @@
 import eiderscale.config.Problem;
 import eiderscale.config.Site;
 import eiderscale.control.ControlServer;
+import eiderscale.datagrams.MemberServer;
 import eiderscale.handover.Duty;
 import eiderscale.handover.Succession;
 import eiderscale.knowledge.Knowledge;
@@ -59,6 +60,8 @@
     private final Duty duty;
     /** Null where nothing is kept. */
     private final State state;
+    /** Null where it is nobody's member. */
+    private final MemberServer members;
     private final ScheduledExecutorService files;
     /** Files thread only, from here on. */
     private AppFile current;
@@ -126,6 +129,14 @@
             thread.setDaemon(true);
             return thread;
         });
+        this.members = app.memberListener() == null ? null : MemberServer.start(loop, app.application(), app.memberName(),
+                app.memberListener(), state == null ? Clock.now() / Clock.SECOND : state.incarnation(), app.memberSeeds(), seed, Clock::now,
+                view -> log.accept("members: " + view.members().size() + " of " + view.known() + " are here, epoch " + view.epoch()));
+        if (members != null) {
+            log.accept("members: " + app.memberName() + " listens on " + members.address().getAddress().getHostAddress() + ":"
+                    + members.address().getPort());
+            loop.submit(() -> duty.onMembers(members::text)).get();
+        }
         if (peers != null && told == null && heard == null && (state == null || !state.isOwn())) {
             peers.goOn(files, later -> loop.execute(() -> duty.recall(later)));
         }
@@ -389,6 +400,9 @@
             if (state != null) {
                 state.keep(duty.record());
             }
+            if (members != null) {
+                members.leave();
+            }
             Promise<Void> ended = loop.newPromise();
             // A disk that hangs must not hold up the loop, on which others are still answered.
             duty.stop(loop).addListener(done -> new Thread(() -> {
--- a/src/main/java/eiderscale/sidecar/State.java
+++ b/src/main/java/eiderscale/sidecar/State.java
@@ -101,6 +101,11 @@
         return store != null;
     }
 
+    /** Of this process: higher than of any before it that is known of. */
+    long incarnation() {
+        return incarnation;
+    }
+
     /** The name of this process in the journal. */
     String run() {
         return Long.toHexString(incarnation);
