--- a/src/main/java/eiderscale/members/Membership.java
+++ b/src/main/java/eiderscale/members/Membership.java
@@ -4,7 +4,6 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,28 +38,11 @@
     private static final int GOSSIPS = 4;
     private static final int GOSSIP_TO = 2;
     private static final int SHOWN = 6;
-    private static final int BUCKETS = 8;
     private static final int MOST_SHOWS = 8;
     /** Members that are known at once; more are not taken, whoever speaks of them. */
     static final int MOST_MEMBERS = 4096;
     /** How slow an instance may take itself for. */
     static final int SLOWEST = 8;
-    /** Confirmations that shorten a suspicion. */
-    static final int ENOUGH = 3;
-    /** A suspicion that nobody confirms lasts that many times the least. */
-    static final int ALONE = 4;
-
-    private static final class Member {
-        Word word;
-        long since;
-        /** Who has said that it does not answer, itself left out. */
-        final Set<String> accusers = new HashSet<>();
-        int passesLeft;
-
-        Member(Word word) {
-            this.word = word;
-        }
-    }
 
     /** A question of another that is passed on. */
     private record Errand(String asker, long number, long until) {
@@ -139,7 +121,7 @@
         }
         for (Member member : members.values()) {
             if (member.word.status() == Status.SUSPECT) {
-                next = Math.min(next, member.since + suspicion(member));
+                next = Math.min(next, member.since + member.suspicion(pace.leastSuspicion(size())));
             }
         }
         return next;
@@ -164,13 +146,6 @@
         return 1 + (int) members.values().stream().filter(member -> member.word.status().isThere()).count();
     }
 
-    private long suspicion(Member member) {
-        long least = pace.leastSuspicion(size());
-        long most = least * ALONE;
-        double part = Math.log(member.accusers.size()) / Math.log(ENOUGH + 1.0);
-        return Math.max(least, (long) (most - (most - least) * Math.min(1, Math.max(0, part))));
-    }
-
     // Time.
 
     /** What is due is done. */
@@ -188,7 +163,7 @@
             askOthers(now);
         }
         for (Member member : List.copyOf(members.values())) {
-            if (member.word.status() == Status.SUSPECT && now >= member.since + suspicion(member)) {
+            if (member.word.status() == Status.SUSPECT && now >= member.since + member.suspicion(pace.leastSuspicion(size()))) {
                 take(now, new Word(member.word.name(), member.word.address(), member.word.incarnation(), Status.DEAD), self.name());
             }
         }
@@ -218,38 +193,20 @@
         newcomers = 0;
     }
 
-    private static int bucket(String name) {
-        return Math.floorMod(name.hashCode() * 0x9E3779B1 >>> 16, BUCKETS);
-    }
-
-    /** Who is there, in a checksum of eight bits for each of eight parts of the names. */
     private long digest() {
-        long digest = part(self);
-        for (Member member : members.values()) {
-            digest ^= member.word.status().isThere() ? part(member.word) : 0;
-        }
-        // 0 is for no digest.
-        return digest == 0 ? 1 : digest;
-    }
-
-    private static long part(Word word) {
-        int hash = (word.name().hashCode() * 31 + Long.hashCode(word.incarnation())) * 0x85EBCA6B;
-        return (long) (hash >>> 24) << 8 * bucket(word.name());
+        List<Word> there = new ArrayList<>();
+        there.add(self);
+        members.values().forEach(member -> there.add(member.word));
+        return Digest.of(there);
     }
 
     /** Somebody holds others for there: it is shown what is held here of one of the parts in which that shows. */
     private void compare(String address, long digest) {
-        long differs = digest ^ digest();
-        List<Integer> parts = new ArrayList<>();
-        for (int i = 0; i < BUCKETS; i++) {
-            if ((differs >>> 8 * i & 0xff) != 0) {
-                parts.add(i);
-            }
-        }
+        List<Integer> parts = Digest.differing(digest, digest());
         if (!parts.isEmpty()) {
             int one = parts.get(luck.nextInt(parts.size()));
             List<Member> all = new ArrayList<>(members.values());
-            all.removeIf(member -> bucket(member.word.name()) != one);
+            all.removeIf(member -> Digest.part(member.word.name()) != one);
             show(address, all);
         }
     }
@@ -477,7 +434,7 @@
 
     /** One more says so: that is passed on as well, up to so many. */
     private void confirm(Member member, String by) {
-        if (member.accusers.size() <= ENOUGH && member.accusers.add(by)) {
+        if (member.confirm(by)) {
             pass(member);
         }
     }
--- a/src/main/java/eiderscale/store/StateStore.java
+++ b/src/main/java/eiderscale/store/StateStore.java
@@ -7,7 +7,6 @@
 import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,7 +14,6 @@
 import java.util.Queue;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
-import java.util.zip.CRC32C;
 import org.h2.mvstore.DataUtils;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
@@ -44,7 +42,6 @@
     private static final int COMPACT_EVERY = 1000;
     private static final int COMPACT_MS = 50;
     private static final int COMPACT_MOST_MS = 30_000;
-    private static final int SUM = 4;
 
     /** Why there is none. */
     public enum Refusal {
@@ -154,7 +151,7 @@
             store.closeImmediately();
             throw e;
         }
-        byte[] form = checked(map(store, "values").get("form"));
+        byte[] form = Sealed.open(map(store, "values").get("form"));
         if (form != null && (form.length != 1 || form[0] > FORM)) {
             store.closeImmediately();
             throw DataUtils.newMVStoreException(DataUtils.ERROR_UNSUPPORTED_FORMAT, "a newer form");
@@ -199,7 +196,7 @@
     private static Map<String, byte[]> all(MVMap<String, byte[]> map, int[] unreadable) {
         Map<String, byte[]> all = new LinkedHashMap<>();
         for (String name : map.keySet()) {
-            byte[] value = checked(map.get(name));
+            byte[] value = Sealed.open(map.get(name));
             if (value == null) {
                 unreadable[0]++;
             } else {
@@ -209,34 +206,6 @@
         return all;
     }
 
-    private static byte[] sealed(byte[] value) {
-        byte[] sealed = Arrays.copyOf(value, value.length + SUM);
-        int sum = sum(value, value.length);
-        for (int i = 0; i < SUM; i++) {
-            sealed[value.length + i] = (byte) (sum >>> 8 * i);
-        }
-        return sealed;
-    }
-
-    /** Without its checksum; null if that does not fit. */
-    private static byte[] checked(byte[] sealed) {
-        if (sealed == null || sealed.length < SUM) {
-            return null;
-        }
-        int length = sealed.length - SUM;
-        int sum = 0;
-        for (int i = 0; i < SUM; i++) {
-            sum |= (sealed[length + i] & 0xff) << 8 * i;
-        }
-        return sum == sum(sealed, length) ? Arrays.copyOf(sealed, length) : null;
-    }
-
-    private static int sum(byte[] bytes, int length) {
-        CRC32C sum = new CRC32C();
-        sum.update(bytes, 0, length);
-        return (int) sum.getValue();
-    }
-
     /** What the file system calls the file: a copy, or one that was restored, is called otherwise. Empty where it does not tell. */
     public static String place(Path folder) {
         try {
@@ -258,7 +227,7 @@
 
     /** A value as it was when the store was opened; null for none that is whole. To be called before anything is put. */
     public byte[] get(String name) {
-        return checked(values.get(name));
+        return Sealed.open(values.get(name));
     }
 
     /** The journal as it was when the store was opened; to be called before anything is entered. */
@@ -409,9 +378,9 @@
             }
             for (Step step : batch) {
                 if (step instanceof Put put) {
-                    values.put(put.name, sealed(changed.get(put.name)));
+                    values.put(put.name, Sealed.seal(changed.get(put.name)));
                 } else if (step instanceof Enter enter) {
-                    journal.put(enter.id, sealed(enter.entry));
+                    journal.put(enter.id, Sealed.seal(enter.entry));
                 } else if (step instanceof Leave leave) {
                     journal.remove(leave.id);
                 }
