--- a/src/main/java/eiderscale/check/Event.java
+++ b/src/main/java/eiderscale/check/Event.java
@@ -44,6 +44,8 @@
         RENEW("other settings come", false),
         /** The process has stood still, and a host began to drain meanwhile. */
         STAND("the process stood still while host %d began to drain", false),
+        /** Another instance says that a host is in and warm and all others are dead, that nothing presses, and what it likes of calls. */
+        HEAR("another instance praises host %d and damns the others", false),
         /** What it asked of the list behind that is answered. */
         CONFIRM("the list is told", false),
         /** It is not. */
--- a/src/main/java/eiderscale/check/SmallWorld.java
+++ b/src/main/java/eiderscale/check/SmallWorld.java
@@ -6,6 +6,9 @@
 import eiderscale.Api.State;
 import eiderscale.Learnt;
 import eiderscale.check.Event.Kind;
+import eiderscale.knowledge.Knowledge;
+import eiderscale.knowledge.Origin;
+import eiderscale.knowledge.Recalled;
 import eiderscale.ledger.Attempt;
 import eiderscale.ledger.Budget;
 import eiderscale.ledger.Counts;
@@ -46,6 +49,11 @@
         /** The module. */
         Api.Events module(Api.Settings settings, long seed, Api.Actions actions);
 
+        /** What is believed of another instance's word. */
+        default Recalled believe(Knowledge told, long now) {
+            return Recalled.of(told, new Origin(told.balancer(), 0, "", now), Origin.Standing.MOVED, now, 0);
+        }
+
         /** The ledger. */
         Ledger<Asked, Asked, Carrier, Boolean> ledger(Terms terms, Ledger.Module module,
                 LedgerActions<Asked, Asked, Carrier, Boolean> actions, Counts counts, Maintenance maintenance);
@@ -194,6 +202,7 @@
     private int calls;
     private int renewals;
     private int stands;
+    private int heard;
     private long stoodAt;
     /** The host that drains and whose word is not told yet. */
     private int untold;
@@ -291,6 +300,9 @@
                 }
             }
         }
+        for (int i = 0; i < bounds.hosts() && heard < bounds.hearsay(); i++) {
+            next.add(new Event(Kind.HEAR, i));
+        }
         if (renewals < bounds.renewals()) {
             next.add(new Event(Kind.RENEW, 0));
         }
@@ -426,6 +438,7 @@
                 untold = at;
                 ledger.stoodStill(now);
             }
+            case HEAR -> hear(at);
             case CONFIRM -> confirm();
             case UNHEARD -> {
                 asks = false;
@@ -526,6 +539,22 @@
         ledger.onList(now, Api.ListMode.DELTA, List.of(server(host)));
     }
 
+    /** The worst that can be said, with calls from later than now; what is believed of it is told to the ledger. */
+    private void hear(int praised) {
+        heard++;
+        List<Learnt.HostWord> words = new ArrayList<>();
+        List<Maintenance.Call> said = new ArrayList<>();
+        for (int i = 0; i < bounds.hosts(); i++) {
+            words.add(new Learnt.HostWord(i + 1, startedAt[i], 0, 1_000, now, 1, i == praised ? 0 : 100, i == praised ? 0 : now + 100 * WAIT));
+            said.add(new Maintenance.Call(i + 1, false, now + WAIT));
+        }
+        Learnt lie = new Learnt(now, words, List.of(), new Learnt.Fleet(1, 0, 1e9, now, 0, 0), new Learnt.Pressure(1, 1, now, 0, 0, 0),
+                new Learnt.Latency(List.of(1.0), List.of(1000), now, 1), List.of(), 0, true);
+        Recalled believed = parts.believe(new Knowledge("a", said, null, lie), now);
+        ledger.recall(now, believed.learnt());
+        maintenance.merge(believed.calls()).forEach(host -> ledger.retell(now, host));
+    }
+
     private void confirm() {
         asks = false;
         listed[untold] = State.DRAINING;
@@ -705,7 +734,7 @@
     public long fingerprint() {
         Fingerprint print = new Fingerprint();
         print.add(now).add(faults).add(lists).add(calls).add(renewals).add(stoppedAt).add(ledger.size())
-                .add(stands).add(asks ? 1 : 0).add(untold).add(stoodAt).add(ledger.waiting());
+                .add(stands).add(heard).add(asks ? 1 : 0).add(untold).add(stoodAt).add(ledger.waiting());
         for (Asked asked : requests) {
             print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(asked.behindStop ? 1 : 0).add(Math.min(2, asked.runs));
         }
--- a/src/main/java/eiderscale/cli/CheckCommand.java
+++ b/src/main/java/eiderscale/cli/CheckCommand.java
@@ -49,6 +49,9 @@
     @Option(names = "--renewals", paramLabel = "N", defaultValue = "0", description = "Reloads of other settings in one run. Default: 0.")
     private int renewals;
 
+    @Option(names = "--hearsay", paramLabel = "N", defaultValue = "0", description = "Words of a lying instance in one run. Default: 0.")
+    private int hearsay;
+
     @Option(names = "--stands", paramLabel = "N", defaultValue = "0", description = "Standstills of the process in one run. Default: 0.")
     private int stands;
 
@@ -117,7 +120,7 @@
             });
         }
         try {
-            return new Bounds(hosts, each, depth, faults, lists, calls, renewals, stops, streams, stands);
+            return new Bounds(hosts, each, depth, faults, lists, calls, renewals, stops, streams, stands, hearsay);
         } catch (IllegalArgumentException e) {
             throw new ParameterException(spec.commandLine(), e.getMessage());
         }
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -183,6 +183,8 @@
     private final Map<Flight<Long, Asked, Good>, Asked> fetches = new IdentityHashMap<>();
     private long joiningAt = Joining.NEVER;
     private long stalledUntil;
+    /** When it last went on after a standstill. */
+    private long wokeAt = Long.MIN_VALUE;
     private boolean dead;
     /** Requests that clients are owed an answer to. */
     private final Set<Call> inside = new LinkedHashSet<>();
@@ -234,6 +236,7 @@
         // Before all that waits for that moment.
         world.events.at(until, () -> {
             if (!dead && stalledUntil == until) {
+                wokeAt = until;
                 ledger.stoodStill(until);
             }
         });
@@ -404,7 +407,12 @@
         inside.remove(call);
         world.digest(2, call.id, end.ordinal());
         world.trace(call, null, "is answered: " + end);
-        world.auditor.answered(call);
+        if (call.deadline() <= wokeAt) {
+            // Its time ended while the machine stood still: nobody's fault, as on real processes.
+            world.auditor.left(call);
+        } else {
+            world.auditor.answered(call);
+        }
         if (end == Clients.End.SERVED && call.write) {
             world.auditor.writeAnswered(call, version);
         } else if (end == Clients.End.SERVED) {
