--- a/src/test/java/eiderscale/sidecar/StateTest.java
+++ b/src/test/java/eiderscale/sidecar/StateTest.java
@@ -101,7 +101,11 @@
         return eiderscale.cli.Tools.run(words).text();
     }
 
-    /** Writes go one at a time until the host has run so many. */
+    /** Until what is kept is on disk under its name: a kill may come before that. */
+    private void awaitSigned() throws Exception {
+        Fleet.await(() -> tool("state", "verify", state().toString()) == 0, "the state is signed");
+    }
+
     private void read(int times) throws Exception {
         try (Talk talk = client()) {
             for (int i = 0; i < times; i++) {
@@ -144,6 +148,7 @@
     void theSecondOnAFolderKeepsNothingUntilTheFirstIsGone() throws Exception {
         start(base());
         at(" serves on 127.0.0.1:");
+        awaitSigned();
         Child one = child;
         start(base());
         child.await(line -> line.contains("another process has"), Talk.LIMIT_MS);
@@ -237,6 +242,7 @@
         long before = second.commands();
         read(40);
         assertEquals(before, second.commands());
+        awaitSigned();
         child.kill();
         start(withPeers(List.of(peer)));
         at(" serves on 127.0.0.1:");
