--- a/src/main/java/eiderscale/platform/Rehearsal.java
+++ b/src/main/java/eiderscale/platform/Rehearsal.java
@@ -13,7 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /**
@@ -47,14 +47,14 @@
 
     /** Takes no arguments; fails if the rehearsal went wrong. */
     public static void main(String[] args) throws Exception {
-        int answers = play();
+        int answers = play(running -> { });
         Counters.log("rehearsed with " + answers + " answers");
         // The balancer's hook has nothing left to do, and the archive is written all the same.
         System.exit(0);
     }
 
-    /** Returns how many commands were answered as they should be. */
-    static int play() throws Exception {
+    /** Returns how many commands were answered as they should be; {@code over}: gets what has been stopped by then. */
+    static int play(Consumer<Main.Running> over) throws Exception {
         Path folder = Files.createTempDirectory("rehearsal");
         try (ServerSocket discovery = peer(Rehearsal::list); ServerSocket host = peer(Rehearsal::serve)) {
             Path file = Files.writeString(folder.resolve("config.json"), String.format(CONFIG, discovery.getLocalPort(),
@@ -62,8 +62,7 @@
             Main.Running running = Main.begin(file.toString(), folder);
             int answers = ask((InetSocketAddress) running.bound()) + called((InetSocketAddress) running.control());
             running.loop().submit(() -> running.duty().stop(running.loop())).get().await();
-            // It would go on asking a discovery that is gone, every millisecond or two.
-            running.loop().shutdownGracefully(0, 0, TimeUnit.SECONDS).sync();
+            over.accept(running);
             return answers;
         } finally {
             try (Stream<Path> all = Files.walk(folder)) {
