--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -65,7 +65,8 @@
     private final Counters counters;
     private final HostPool pool;
     private final Discovery discovery;
-    private final Heartbeat heartbeat = new Heartbeat(Clock.now(), STOOD);
+    /** Null until it beats for the first time: a start that is slow is no standstill, and discovery is asked in turn then. */
+    private Heartbeat heartbeat;
     private final EventLoop loop;
     private Journal journal;
     /** It asks though nobody has watched yet. */
@@ -236,7 +237,9 @@
 
     /** Closes what the pool holds idle for too long; called a few times a second. */
     void sweep() {
-        if (heartbeat.beat(Clock.now())) {
+        if (heartbeat == null) {
+            heartbeat = new Heartbeat(Clock.now(), STOOD);
+        } else if (heartbeat.beat(Clock.now())) {
             stoodStill();
         }
         pool.sweep();
@@ -244,7 +247,7 @@
 
     /** Whether this is the first event behind a standstill. */
     private void look() {
-        if (heartbeat.isFirst(Clock.now())) {
+        if (heartbeat != null && heartbeat.isFirst(Clock.now())) {
             stoodStill();
         }
     }
