A test of a late loop holds that loop while its clients connect

Seen: ClosingTest.aLoopThatIsLateClosesNobodyForEase, "expected 5 but was 0", in both of two whole suites beside eight busy cores.

Change: the loop is held by a latch until all have connected and asked, and the first late turn follows 30 ms of the loop's own behind that.

--- a/src/test/java/eiderscale/net/ClosingTest.java
+++ b/src/test/java/eiderscale/net/ClosingTest.java
@@ -8,6 +8,10 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** Connections that are closed on the balancer's own account: no command that had come is lost with them. */
@@ -91,6 +95,14 @@
         }
     }
 
+    private static void awaitQuietly(CountDownLatch held) {
+        try {
+            held.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -146,10 +158,16 @@
         try (Rig rig = new Rig(FakeHost.serving())) {
             rig.sockets = SOCKETS;
             rig.start();
-            connect(rig, clients);
+            // The loop is held while they connect, however long that takes: none of them has been idle when it goes on.
+            CountDownLatch held = new CountDownLatch(1);
+            rig.loop.execute(() -> awaitQuietly(held));
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(rig.client());
+                ask(clients.get(i), "first" + i);
+            }
             for (int round = 0; round < most; round++) {
                 int now = round;
-                String gauges = rig.loop.submit(() -> {
+                Callable<String> late = () -> {
                     if (!rig.node.gauges().startsWith(nobodyGone)) {
                         return null;
                     }
@@ -159,10 +177,18 @@
                     }
                     rig.node.sweep();
                     return rig.node.gauges();
-                }).get();
+                };
+                FutureTask<String> task = new FutureTask<>(late);
+                // Once, so soon behind the hold that all are here and answered.
+                rig.loop.execute(now > 0 ? task : () -> rig.loop.schedule(task, 30, TimeUnit.MILLISECONDS));
+                held.countDown();
+                String gauges = task.get();
                 if (gauges == null) {
                     return round;
                 }
+                for (int i = 0; now == 0 && i < CLIENTS; i++) {
+                    assertEquals("HD Ofirst" + i + " c77", clients.get(i).line());
+                }
                 assertTrue(gauges.startsWith(nobodyGone), gauges);
                 for (int i = 0; i < CLIENTS; i++) {
                     String line = clients.get(i).line();
