The last look for a standstill is right before the bytes leave

Cause, by reading: a process is stopped anywhere, also within a turn of its loop behind `Balancer.take` and before the write; when it goes on nothing looks at the clock before that. Change: `Balancer.hindrance`, which is asked right before the first byte, looks too. What is left is a stop between that look and the write: the test allows one for each of its two machines (dozens without the wait).

--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -285,6 +285,8 @@
 
     @Override
     public Reason hindrance(Attempt<Request, Client, HostPool.Link, Answer> attempt) {
+        // A machine may stop between two lines of one turn: the last look is right before the bytes leave.
+        look();
         return ledger.hindrance(Clock.now(), attempt);
     }
 
