--- a/src/main/java/eiderscale/fleet/FleetHost.java
+++ b/src/main/java/eiderscale/fleet/FleetHost.java
@@ -61,11 +61,6 @@
         return new Turn(silent ? Injury.DROP : fails ? Injury.FAIL : Injury.NONE, 0, took);
     }
 
-    private double speed(long now) {
-        long age = coldSince == Long.MIN_VALUE ? Long.MAX_VALUE : now - coldSince;
-        return kind.speed(age);
-    }
-
     @Override
     public int number() {
         return number;
@@ -77,13 +72,13 @@
     }
 
     @Override
-    public boolean isCold(long now) {
-        return speed(now) < 1;
+    public Experiment.Hosts kind() {
+        return kind;
     }
 
     @Override
-    public double canDo(long now, long span) {
-        return kind.canDo(speed(now), span);
+    public long startedAt() {
+        return coldSince;
     }
 
     void slow(double factor) {
--- a/src/main/java/eiderscale/fleet/FleetLoad.java
+++ b/src/main/java/eiderscale/fleet/FleetLoad.java
@@ -37,6 +37,7 @@
 final class FleetLoad {
     /** An answer may come so much later and earn nothing; later than that the request is lost. */
     static final long GRACE = 500_000_000L;
+    private static final long LEAST_BETWEEN_CALLS = 100_000_000L;
     /** Nothing of an answered request is on its way any more after so long. */
     private static final long SETTLED = 250_000_000L;
     private static final int MOST_CONNECTIONS = 256;
@@ -155,6 +156,8 @@
     private final Tally tally;
     private final long origin;
     private final long length;
+    /** A balancer that watches knows of a change after this: the call that is out, or the pause and the next one. */
+    private final long known;
     private final UniformRandomProvider choices;
     private final ZigguratSampler.Exponential pauses;
     private final SharedStateDiscreteSampler popularity;
@@ -179,6 +182,7 @@
         this.tally = tally;
         this.origin = origin;
         this.length = experiment.length();
+        this.known = LEAST_BETWEEN_CALLS + 2 * experiment.discovery().call();
         this.choices = luck.stream("choices");
         this.pauses = ZigguratSampler.Exponential.of(luck.stream("arrivals"));
         this.popularity = load.zipf() > 0 ? RejectionInversionZipfSampler.of(choices, load.keys(), load.zipf()) : null;
@@ -357,7 +361,7 @@
             }
             long at = now();
             tally.add(Tally.Of.SENDS, at, 1);
-            if (at - settings.drainGrace() - Auditor.SLACK > host.drainsSince()) {
+            if (at - known - settings.drainGrace() - Auditor.SLACK > host.drainsSince()) {
                 tally.add(Tally.Of.STALE, at, 1);
             }
             if (host.isCold(at)) {
--- a/src/main/java/eiderscale/lab/Auditor.java
+++ b/src/main/java/eiderscale/lab/Auditor.java
@@ -1,6 +1,7 @@
 package eiderscale.lab;
 
 import eiderscale.Api;
+import eiderscale.config.Experiment;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -64,11 +65,26 @@
         /** What it is called. */
         String name();
 
+        /** What it is made like. */
+        Experiment.Hosts kind();
+
+        /** When its process started; {@link Long#MIN_VALUE} for long ago. */
+        long startedAt();
+
+        /** The part of its speed that it has, from its cold share to 1. */
+        default double speed(long now) {
+            return kind().speed(startedAt() == Long.MIN_VALUE ? Long.MAX_VALUE : now - startedAt());
+        }
+
         /** Whether it has started lately and has not all of its speed. */
-        boolean isCold(long now);
+        default boolean isCold(long now) {
+            return speed(now) < 1;
+        }
 
         /** Requests that it could do within {@code span} if it went on as it is. */
-        double canDo(long now, long span);
+        default double canDo(long now, long span) {
+            return kind().canDo(speed(now), span);
+        }
     }
 
     /** What has been found. {@code examples}: the first few, in words. */
