--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -8,7 +8,7 @@
 public final class Router implements Api.Events {
     /** UpTo: attempts of one request, the first included. */
     private static final int UP_TO = 6;
-    private static final long NEVER = Long.MAX_VALUE;
+    private static final long NEVER = Flight.NEVER;
     private static final int TIMER_ALARM = 1;
     private static final int TIMER_LIST = 2;
     /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
@@ -22,59 +22,6 @@
     /** Safety taken off the window within which servers drop repeats. */
     private static final double WINDOW_SAFETY = 0.9;
 
-    /** One send and how it ended. */
-    private static final class Attempt {
-        final Host host;
-        final long sentAt;
-        boolean pending = true;
-        boolean neverRan;
-        /** A copy sent later was answered first. */
-        boolean overtaken;
-
-        Attempt(Host host, long sentAt) {
-            this.host = host;
-            this.sentAt = sentAt;
-        }
-    }
-
-    /** A request from its arrival until its last attempt has been reported. */
-    private static final class Flight {
-        final Request request;
-        final RequestClass requestClass;
-        final long usefulUntil;
-        final Attempt[] attempts;
-        int sent;
-        int pending;
-        boolean ended;
-        /** Missed at a cache, or sent to the origin: no copy runs beside that. */
-        boolean missed;
-        boolean streaming;
-        /** Waits for its turn: earlier requests of its key are not over. */
-        boolean held;
-        /** When its copy is due, when it tells of overload, and the earlier of the two or end of its wait. */
-        long hedgeAt = NEVER;
-        long slowAt = NEVER;
-        long alarmAt;
-
-        Flight(Request request, RequestClass requestClass, long now, int mostAttempts) {
-            this.request = request;
-            this.requestClass = requestClass;
-            long aim = requestClass.aim() + (long) (requestClass.aimStretch() * request.work());
-            this.usefulUntil = requestClass.lateWorth() > 0 || requestClass.stream()
-                    ? request.deadline() : Math.min(request.deadline(), now + aim);
-            this.attempts = new Attempt[mostAttempts];
-        }
-
-        /** The earliest attempt that is not known never to have run. */
-        Attempt mayHaveRun() {
-            return Arrays.stream(attempts, 0, sent).filter(a -> !a.neverRan).findFirst().orElse(null);
-        }
-
-        boolean ordered() {
-            return requestClass.inOrder() && request.key() != 0;
-        }
-    }
-
     /** Something to look at in a flight; void if the flight has set another since. */
     private record Alarm(long at, Flight flight) {
         boolean isVoid() {
@@ -237,7 +184,7 @@
 
     private void send(long now, Flight flight, Host host) {
         flight.missed |= health.isOrigin(host);
-        flight.attempts[flight.sent++] = new Attempt(host, now);
+        flight.attempts[flight.sent++] = new Flight.Attempt(host, now);
         flight.pending++;
         health.onSend(now, host);
         actions.send(flight.request.id(), host.id, flight.usefulUntil);
@@ -362,7 +309,7 @@
                 || !flight.attempts[outcome.attempt()].pending) {
             return;
         }
-        Attempt attempt = flight.attempts[outcome.attempt()];
+        Flight.Attempt attempt = flight.attempts[outcome.attempt()];
         attempt.pending = false;
         attempt.neverRan = outcome.reason().neverRan;
         flight.pending--;
@@ -429,8 +376,8 @@
         }
     }
 
-    private void learn(long now, long took, Flight flight, Attempt attempt, Outcome outcome, boolean broken,
-                       boolean unexplained) {
+    private void learn(long now, long took, Flight flight, Flight.Attempt attempt, Outcome outcome,
+                       boolean broken, boolean unexplained) {
         Reason reason = outcome.reason();
         if (flight.ordered() && !reason.neverRan) {
             admission.writeTook(took);
@@ -494,7 +441,7 @@
             return false;
         }
         RequestClass c = flight.requestClass;
-        Attempt first = flight.mayHaveRun();
+        Flight.Attempt first = flight.mayHaveRun();
         if (first != null && !(flight.pending > 0 ? c.hedge() : c.retry())) {
             return false;
         }
@@ -504,15 +451,8 @@
                 && (c.group() != Group.CELL || first.host.cell == host.cell);
     }
 
-    /** The second rule: a refusal promises that a client's retry does no harm. */
-    private static boolean mayRefuse(Flight flight) {
-        RequestClass c = flight.requestClass;
-        return c.effect() == Effect.RETRYABLE || c.effect() == Effect.DEDUP && c.group() == Group.ALL
-                || flight.mayHaveRun() == null;
-    }
-
     private void finish(long now, Flight flight) {
-        if (mayRefuse(flight)) {
+        if (flight.mayRefuse()) {
             actions.refuse(flight.request.id(), now >= flight.usefulUntil ? settings.maxRetryAfter() : 0);
         } else {
             actions.fail(flight.request.id());
