The log tells how single attempts end, on which connection, and why requests get no answer

Change: connections to hosts have numbers and know what they have carried; AttemptLog writes a line for each attempt of an unsafe or keyed request that did not simply succeed, for each that follows one, and for requests that end without a host's answer, 40 in ten seconds at most. The module says why it refuses or fails (Api.Cause, Actions.because); the counts show these causes and the answers that were unsolicited or for another request. Behaviour is the same.

--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -147,6 +147,30 @@
         MISS
     }
 
+    /** Why the module gives a final answer of its own. */
+    public enum Cause {
+        /** Its tenant is over its share, or would be if it were taken. */
+        OVER_SHARE,
+        /** No answer could come in time to be of use. */
+        NO_TIME_LEFT,
+        /** Writes fail behind the hosts, and this one was picked to give way. */
+        ORIGIN_FULL,
+        /** The hosts are overloaded, and this one was picked to give way. */
+        OVERLOADED,
+        /** Too many requests of its key are before it. */
+        KEY_QUEUE,
+        /** No host may take it, or none that has not been tried. */
+        NO_HOST,
+        /** It has had as many attempts as one may have. */
+        ATTEMPTS_SPENT,
+        /** The last attempt did not go out for want of room or time in this process. */
+        NOT_SENT,
+        /** An attempt may have run, and another could take effect a second time. */
+        MAY_HAVE_RUN,
+        /** The allowance for further attempts, over all requests, is used up. */
+        RETRY_BUDGET
+    }
+
     /** The end of an attempt. {@code closed}: the request has its final answer. */
     public record Outcome(long request, int attempt, Reason reason, long took, boolean closed,
                           float[] report, Lookup lookup) {
@@ -198,6 +222,10 @@
         /** Ends the wait for one attempt. */
         void cancel(long request, int attempt);
 
+        /** Why the refusal or failure that follows at once is given; for logs and counters. */
+        default void because(long request, Cause cause) {
+        }
+
         /** Final answer: refused, a client's retry does no harm. */
         void refuse(long request, long retryAfter);
 
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -88,8 +88,9 @@
         Flight flight = new Flight(request, requestClass, now, mostAttempts);
         boolean over = admission.overShare(now, request.tenant());
         boolean worthless = flight.usefulUntil <= now;
-        if (worthless || request.write() && !admission.fill(true, health.nextUnit())
-                || admission.shed(over, request.write(), health.nextUnit())) {
+        Cause cause = turnedAway(worthless, over, request.write());
+        if (cause != null) {
+            actions.because(request.id(), cause);
             actions.refuse(request.id(), over || worthless ? settings.maxRetryAfter()
                     : admission.retryAfter(requestClass, health.nextUnit()));
             return;
@@ -106,10 +107,24 @@
         if (now + order.enter(now, request.key(), flight) * admission.writeTime < flight.usefulUntil) {
             takeTurn(now, flight);
         } else {
-            finish(now, flight);
+            finish(now, flight, Cause.KEY_QUEUE);
         }
     }
 
+    /** Why a new request is refused before a host is looked for; null if it is taken. */
+    private Cause turnedAway(boolean worthless, boolean over, boolean write) {
+        if (worthless) {
+            return Cause.NO_TIME_LEFT;
+        }
+        if (write && !admission.fill(true, health.nextUnit())) {
+            return Cause.ORIGIN_FULL;
+        }
+        if (admission.shed(over, write, health.nextUnit())) {
+            return over ? Cause.OVER_SHARE : Cause.OVERLOADED;
+        }
+        return null;
+    }
+
     @Override
     public void onJoined(long now, int tenant) {
         admission.overShare(now, tenant);
@@ -120,7 +135,7 @@
     private void takeTurn(long now, Flight flight) {
         long turn = order.turn(flight.request.key(), flight);
         if (now >= flight.usefulUntil) {
-            finish(now, flight);
+            finish(now, flight, Cause.NO_TIME_LEFT);
         } else if (now >= turn) {
             flight.held = false;
             begin(now, flight);
@@ -148,7 +163,7 @@
         }
         host = host == null && settings.aside() ? origin() : host;
         if (host == null) {
-            finish(now, flight);
+            finish(now, flight, Cause.NO_HOST);
             return;
         }
         send(now, flight, host);
@@ -413,15 +428,32 @@
         if (flight.pending > 0) {
             return;
         }
-        if (now < flight.usefulUntil && flight.sent < mostAttempts && reason != Reason.MOOT) {
-            Host host = next(now, flight, reason);
-            if (host != null && maySend(now, flight, host)
-                    && (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now))) {
-                send(now, flight, host);
-                return;
-            }
+        Cause hindrance = hindrance(now, flight, reason);
+        if (hindrance != null) {
+            finish(now, flight, hindrance);
+            return;
+        }
+        Host host = next(now, flight, reason);
+        if (host == null) {
+            finish(now, flight, Cause.NO_HOST);
+        } else if (!maySend(now, flight, host)) {
+            finish(now, flight, Cause.MAY_HAVE_RUN);
+        } else if (reason == Reason.MISS || broken && settings.budget() == null || hedging.spend(now)) {
+            send(now, flight, host);
+        } else {
+            finish(now, flight, Cause.RETRY_BUDGET);
+        }
+    }
+
+    /** What keeps a request from a further attempt, whichever host would get it; null if nothing does. */
+    private Cause hindrance(long now, Flight flight, Reason reason) {
+        if (now >= flight.usefulUntil) {
+            return Cause.NO_TIME_LEFT;
+        }
+        if (flight.sent >= mostAttempts) {
+            return Cause.ATTEMPTS_SPENT;
         }
-        finish(now, flight);
+        return reason == Reason.MOOT ? Cause.NOT_SENT : null;
     }
 
     private Host next(long now, Flight flight, Reason reason) {
@@ -451,7 +483,8 @@
                 && (c.group() != Group.CELL || first.host.cell == host.cell);
     }
 
-    private void finish(long now, Flight flight) {
+    private void finish(long now, Flight flight, Cause cause) {
+        actions.because(flight.request.id(), cause);
         if (flight.mayRefuse()) {
             actions.refuse(flight.request.id(), now >= flight.usefulUntil ? settings.maxRetryAfter() : 0);
         } else {
--- a/src/main/java/eiderscale/http/HttpAnswer.java
+++ b/src/main/java/eiderscale/http/HttpAnswer.java
@@ -39,6 +39,11 @@
         this.framed = framed;
     }
 
+    @Override
+    public String summary() {
+        return "HTTP " + status;
+    }
+
     @Override
     public String loadReport() {
         return fields.first(LOAD);
--- a/src/main/java/eiderscale/ledger/Attempt.java
+++ b/src/main/java/eiderscale/ledger/Attempt.java
@@ -1,5 +1,7 @@
 package eiderscale.ledger;
 
+import eiderscale.Api;
+
 /**
  * One send of a request to a host, numbered by its place among the request's sends; the timer that ends the wait for it. For
  * the type parameters see {@link LedgerActions}.
@@ -15,6 +17,8 @@
     boolean waits;
     /** Known with its outcome. */
     boolean mayHaveRun;
+    /** Its outcome; null before that. */
+    Api.Reason outcome;
     /** When its answer began to come; 0 before that, and where answers come whole. From then on it has no cut. */
     long begunAt;
     /** When the last of a body came that has begun. */
@@ -59,6 +63,11 @@
         return cutAt;
     }
 
+    /** How it ended; null while it is out. */
+    public Api.Reason outcome() {
+        return outcome;
+    }
+
     /** Whether its outcome is known. */
     public boolean isOver() {
         return over;
--- a/src/main/java/eiderscale/ledger/Counts.java
+++ b/src/main/java/eiderscale/ledger/Counts.java
@@ -1,10 +1,12 @@
 package eiderscale.ledger;
 
+import eiderscale.Api.Cause;
 import eiderscale.Api.Reason;
 
 /** What has become of requests and attempts since the start; over several pools, if they share one. */
 public final class Counts {
     private final long[] outcomes = new long[Reason.values().length];
+    private final long[] causes = new long[Cause.values().length];
     long taken;
     long served;
     long refused;
@@ -23,6 +25,10 @@
         outcomes[reason.ordinal()]++;
     }
 
+    void cause(Cause cause) {
+        causes[cause.ordinal()]++;
+    }
+
     void timer(long late) {
         timers++;
         lateTimers += late > 5_000_000 ? 1 : 0;
@@ -84,6 +90,11 @@
         localRefusals++;
     }
 
+    /** Requests that the module refused or failed for this. */
+    public long causes(Cause cause) {
+        return causes[cause.ordinal()];
+    }
+
     /** Attempts that ended so. */
     public long outcomes(Reason reason) {
         return outcomes[reason.ordinal()];
--- a/src/main/java/eiderscale/ledger/Exchange.java
+++ b/src/main/java/eiderscale/ledger/Exchange.java
@@ -1,6 +1,8 @@
 package eiderscale.ledger;
 
+import eiderscale.Api;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 
 /**
@@ -28,6 +30,8 @@
     boolean answered;
     /** Some attempt may have run. */
     boolean mayHaveRun;
+    /** Why the module has refused or failed it; null where it did neither. */
+    Api.Cause cause;
     private final W work;
     private final C client;
     private A last;
@@ -60,6 +64,16 @@
         return deadline;
     }
 
+    /** Its attempts so far, the first one first; not to be changed. */
+    public List<Attempt<W, C, L, A>> attempts() {
+        return Collections.unmodifiableList(attempts);
+    }
+
+    /** Why the module has refused or failed it; null where it did neither. */
+    public Api.Cause cause() {
+        return cause;
+    }
+
     /** Whether it is answered, or its client is gone. */
     public boolean isOver() {
         return over;
--- a/src/main/java/eiderscale/ledger/Generation.java
+++ b/src/main/java/eiderscale/ledger/Generation.java
@@ -29,6 +29,11 @@
         ledger.cancel(request, attempt);
     }
 
+    @Override
+    public void because(long request, Api.Cause cause) {
+        ledger.because(request, cause);
+    }
+
     @Override
     public void refuse(long request, long retryAfter) {
         ledger.refuse(request, retryAfter);
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -530,6 +530,7 @@
             return;
         }
         attempt.over = true;
+        attempt.outcome = reason;
         actions.disarm(attempt);
         actions.over(attempt, reason);
         counts.outcome(reason);
@@ -766,6 +767,14 @@
         }
     }
 
+    void because(long request, Api.Cause cause) {
+        Exchange<W, C, L, A> exchange = exchanges.get(request);
+        if (exchange != null && !exchange.over) {
+            exchange.cause = cause;
+            counts.cause(cause);
+        }
+    }
+
     void refuse(long request, long retryAfter) {
         Exchange<W, C, L, A> exchange = exchanges.get(request);
         if (exchange != null && !exchange.over) {
--- a/src/main/java/eiderscale/meta/MetaFrame.java
+++ b/src/main/java/eiderscale/meta/MetaFrame.java
@@ -33,6 +33,11 @@
         return data != null ? data.length : bulk;
     }
 
+    @Override
+    public String summary() {
+        return fault != null ? fault : String.join(" ", words);
+    }
+
     @Override
     public String loadReport() {
         return flag(1, 'L');
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -63,6 +63,7 @@
     private final SplittableRandom seeds;
     private final Timers timers;
     private final Counters counters;
+    private final AttemptLog log;
     private final HostPool pool;
     private final Discovery discovery;
     /** Null until it beats for the first time: a start that is slow is no standstill, and discovery is asked in turn then. */
@@ -81,6 +82,7 @@
         this.timers = new Timers(loop, counters, this::look);
         this.loop = loop;
         this.counters = counters;
+        this.log = new AttemptLog(counters);
         this.pool = new HostPool(site, loop, counters, protocol, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
         this.seeds = new SplittableRandom(config.seed());
@@ -294,6 +296,7 @@
 
     @Override
     public void send(Attempt<Request, Client, HostPool.Link, Answer> attempt, long host) {
+        log.follows(attempt);
         pool.send(attempt, host);
     }
 
@@ -319,11 +322,13 @@
 
     @Override
     public void refused(Exchange<Request, Client, HostPool.Link, Answer> exchange, long wait) {
+        log.unanswered(exchange, "refused");
         exchange.client().refused(milliseconds(wait), exchange.last());
     }
 
     @Override
     public void failed(Exchange<Request, Client, HostPool.Link, Answer> exchange) {
+        log.unanswered(exchange, "failed");
         exchange.client().failed(exchange.last());
     }
 
--- a/src/main/java/eiderscale/net/Clock.java
+++ b/src/main/java/eiderscale/net/Clock.java
@@ -5,6 +5,8 @@
  * keeps it from ever falling, and start times told by discovery compare with it directly.
  */
 public final class Clock {
+    /** In nanoseconds. */
+    public static final long MICROSECOND = 1_000L;
     /** In nanoseconds. */
     public static final long MILLISECOND = 1_000_000L;
     /** In nanoseconds. */
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.Api.Cause;
 import eiderscale.Api.Reason;
 import eiderscale.ledger.Counts;
 import java.util.Locale;
@@ -9,6 +10,8 @@
     private static final String PREFIX = "stairshelf: ";
     /** Lines that peers may cause between two prints, and the length of one. */
     private static final int MOST_NOISES = 20;
+    /** Lines about single attempts between two prints. */
+    private static final int MOST_EVENTS = 40;
     private static final int MOST_NOISE = 200;
     private static final int MOST_FRAMES = 6;
     /** Of requests and attempts. */
@@ -26,7 +29,11 @@
     long timedOut;
     long retired;
     long turnedAway;
+    /** Answers that came on connections to hosts on which nothing was asked, and such that were for another request. */
+    long unsolicited;
+    long mismatched;
     private long noises;
+    private long events;
 
     /** Writes what has been counted so far. */
     void print(String gauges) {
@@ -41,10 +48,18 @@
                 line.append(' ').append(reason).append(' ').append(ledger.outcomes(reason));
             }
         }
-        if (noises > MOST_NOISES) {
-            line.append(" | not logged ").append(noises - MOST_NOISES);
+        line.append(" | unsolicited ").append(unsolicited).append(" mismatched ").append(mismatched);
+        for (Cause cause : Cause.values()) {
+            if (ledger.causes(cause) > 0) {
+                line.append(' ').append(cause).append(' ').append(ledger.causes(cause));
+            }
+        }
+        long unlogged = Math.max(0, noises - MOST_NOISES) + Math.max(0, events - MOST_EVENTS);
+        if (unlogged > 0) {
+            line.append(" | not logged ").append(unlogged);
         }
         noises = 0;
+        events = 0;
         log(line.append(" | ").append(gauges).toString());
     }
 
@@ -52,10 +67,19 @@
     void noise(String line) {
         noises++;
         if (noises <= MOST_NOISES) {
-            log(line.length() > MOST_NOISE ? line.substring(0, MOST_NOISE) + "..." : line);
+            log(shortened(line));
         }
     }
 
+    /** Whether a line about a single attempt may still be written before the next print; counts it. */
+    boolean mayLogEvent() {
+        return ++events <= MOST_EVENTS;
+    }
+
+    static String shortened(String line) {
+        return line.length() > MOST_NOISE ? line.substring(0, MOST_NOISE) + "..." : line;
+    }
+
     Totals totals() {
         return new Totals(ledger.taken(), ledger.served(), ledger.refused(), ledger.failed(), ledger.clientsGone(),
                 ledger.copies(), malformed);
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -53,6 +53,9 @@
     /** Read at once, in bytes: what is read of a long value counts only then. */
     private static final int MOST_READ = 16 * 1024;
 
+    /** Characters of an answer that are kept for logs. */
+    private static final int MOST_LOGGED = 60;
+
     /** A cache host and where it is reached. */
     private static final class Host {
         final long id;
@@ -71,11 +74,14 @@
     private final Bootstrap bootstrap;
     private final Map<Long, Host> hosts = new HashMap<>();
     private final HostLinks<Link> links;
+    private final AttemptLog log;
+    private long lastLink;
 
     HostPool(Site site, EventLoop loop, Counters counters, HostProtocol protocol, int mostLinks, Listener listener) {
         this.site = site;
         this.protocol = protocol;
         this.counters = counters;
+        this.log = new AttemptLog(counters);
         this.links = new HostLinks<>(mostLinks, Link::giveUp);
         this.listener = listener;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -143,6 +149,7 @@
     void abandon(Attempt<Request, Client, Link, Answer> attempt) {
         Link link = attempt.link();
         if (link != null) {
+            log.ended(attempt, link, "given up", "");
             link.release();
             if (link.sent != null) {
                 link.channel.close();
@@ -179,11 +186,24 @@
         private long trailedAt;
         /** Some of it has left, of a request that may run by that. */
         private boolean partly;
+        private final long number = ++lastLink;
+        /** Requests that it has carried, the present one included. */
+        private long carried;
+        /** The last answer that ended an attempt on it, and when that came. */
+        private String lastAnswer = "none";
+        private long lastAnswerAt;
 
         private Link(Host host) {
             this.host = host;
         }
 
+        /** For logs: its number, its host, and what it has carried. */
+        @Override
+        public String toString() {
+            String since = lastAnswerAt == 0 ? "" : " " + (Clock.now() - lastAnswerAt) / Clock.MILLISECOND + " ms ago";
+            return "connection=" + number + " host=" + host.endpoint + " carried=" + carried + " last-answer=\"" + lastAnswer + '"' + since;
+        }
+
         private void connect(Attempt<Request, Client, Link, Answer> first) {
             carry(first);
             counters.connects++;
@@ -204,6 +224,7 @@
 
         private void carry(Attempt<Request, Client, Link, Answer> next) {
             attempt = next;
+            carried++;
             next.link(this);
         }
 
@@ -282,6 +303,8 @@
                     trailedAt = Clock.now();
                 } else {
                     // Nobody asked: what follows on this connection cannot be told apart any more.
+                    counters.unsolicited++;
+                    log.unsolicited(this, message);
                     retire();
                 }
                 return;
@@ -292,7 +315,9 @@
             } else if (verdict.stage() == HostProtocol.Stage.BEGUN) {
                 listener.onBegun(attempt, verdict.answer());
             } else if (verdict.reason() == null) {
-                counters.noise("a cache host broke the protocol: " + verdict.fault());
+                counters.mismatched++;
+                counters.noise("a cache host broke the protocol: request=" + attempt.exchange().work().id() + ' ' + this
+                        + " answer=" + verdict.fault());
                 finish(Reason.ERROR, null, true);
             } else {
                 boolean full = isFull(verdict);
@@ -338,6 +363,10 @@
 
         private void finish(Reason reason, Answer answer, boolean close) {
             Attempt<Request, Client, Link, Answer> ended = attempt;
+            String said = answer == null ? "" : answer.summary();
+            log.ended(ended, this, reason.name(), said);
+            lastAnswer = said.substring(0, Math.min(MOST_LOGGED, said.length()));
+            lastAnswerAt = Clock.now();
             learn(false);
             release();
             sent = null;
@@ -412,6 +441,7 @@
                 Reason reason = written() ? Reason.RESET : attempt.exchange().work().isCut() ? Reason.MOOT
                         : Reason.CONNECT_FAILED;
                 Attempt<Request, Client, Link, Answer> ended = attempt;
+                log.ended(ended, this, reason.name(), "");
                 learn(true);
                 release();
                 listener.onAnswer(ended, reason, null);
