--- a/src/main/java/eiderscale/standin/Relay.java
+++ b/src/main/java/eiderscale/standin/Relay.java
@@ -35,6 +35,7 @@
     private final Supplier<InetSocketAddress> target;
     private final Way there = new Way();
     private final Way back = new Way();
+    private volatile boolean repeats;
 
     /** Starts on a free port of loopback; {@code target}: asked at each connection, as what is behind may move. */
     public Relay(EventLoop loop, Supplier<InetSocketAddress> target) throws InterruptedException {
@@ -58,6 +59,14 @@
         back.delayNs = there.delayNs;
     }
 
+    /**
+     * From now on what the target sends comes twice: the second time when the next bytes of that connection pass towards the
+     * target, as a late second answer does that crosses the next request.
+     */
+    public void repeat(boolean twice) {
+        repeats = twice;
+    }
+
     /** Resets all connections; new ones come up. */
     public void resetAll() {
         loop.submit(() -> connections.forEach(StandInServer::reset)).syncUninterruptibly();
@@ -136,6 +145,8 @@
         private final Pipe out = new Pipe(there);
         private final Pipe in = new Pipe(back);
         private Channel far;
+        /** What the target sent last, where that is to come once more; null otherwise. */
+        private ByteBuf last;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
@@ -166,10 +177,15 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
             out.put((ByteBuf) bytes);
+            if (last != null) {
+                in.put(last);
+                last = null;
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            forgetLast();
             in.drop();
             if (far == null || there.cut) {
                 // Nobody sends again what its sender has closed while nothing went there.
@@ -194,6 +210,18 @@
             reset(ctx.channel());
         }
 
+        private void keepLast(ByteBuf bytes) {
+            forgetLast();
+            last = bytes.copy();
+        }
+
+        private void forgetLast() {
+            if (last != null) {
+                last.release();
+                last = null;
+            }
+        }
+
         /** The side towards the target. */
         private final class Far extends ChannelInboundHandlerAdapter {
             private final Channel near;
@@ -204,6 +232,9 @@
 
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (repeats && near.isActive()) {
+                    keepLast((ByteBuf) bytes);
+                }
                 in.put((ByteBuf) bytes);
             }
 
--- a/src/test/java/eiderscale/standin/RelayTest.java
+++ b/src/test/java/eiderscale/standin/RelayTest.java
@@ -76,6 +76,21 @@
         }
     }
 
+    @Test
+    void aRepeatedAnswerComesAgainWhenTheNextRequestPasses() throws Exception {
+        relay.repeat(true);
+        try (Socket client = client(); Socket server = accepted()) {
+            client.getOutputStream().write("one".getBytes());
+            assertEquals("one", read(server, 3));
+            server.getOutputStream().write("back".getBytes());
+            assertEquals("back", read(client, 4));
+            assertSilent(client);
+            client.getOutputStream().write("two".getBytes());
+            assertEquals("back", read(client, 4));
+            assertEquals("two", read(server, 3));
+        }
+    }
+
     @Test
     void whatWaitsWhileTheWayIsCutGoesOnInOrderWhenItIsWhole() throws Exception {
         try (Socket client = client(); Socket server = accepted()) {
