A refusal on a used connection no longer proves that an unsafe request never ran

Cause: SERVER_ERROR busy names no request. The answer to a read came a second time, some milliseconds late, when the next request of that connection, an unsafe one, had just been written. HostPool took it for that request's answer, REJECTED counts as never run, and the module sent it to another host while the first carried it out.

Change: Ledger.attributed: a rejection proves that an unsafe or keyed request never ran only on a connection that had carried nothing before; else the attempt ends UNATTRIBUTED, which may have run, and its connection is closed. All drivers ask it: sockets (both protocols), laboratory, checker. So that this costs little under load, unsafe requests to a host that turned requests away in the last 10 s take a new connection (HostLinks).

Why it works: what comes on a connection's first request can only be that request's answer, whatever a host or a proxy repeats or delays. No wait and no guess of how late an answer may come is involved.

--- a/src/main/java/eiderscale/Api.java
+++ b/src/main/java/eiderscale/Api.java
@@ -33,10 +33,13 @@
     /** How a list is to be applied: changed entries, all entries, the last held list, or a failed call. */
     public enum ListMode { DELTA, FULL, CACHED, FAILED }
 
-    /** How an attempt ended. */
+    /**
+     * How an attempt ended. {@code UNATTRIBUTED}: its connection brought a rejection that may be the answer
+     * to an earlier request.
+     */
     public enum Reason {
         OK(false), ERROR(false), REJECTED(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), MOOT(true), MISS(true);
+        CANCELLED(false), MOOT(true), MISS(true), UNATTRIBUTED(false);
 
         /** True if the attempt provably never ran. */
         public final boolean neverRan;
@@ -47,7 +50,12 @@
 
         /** True if the attempt may still be running at its server. */
         public boolean mayRunOn() {
-            return this == TIMEOUT || this == RESET || this == CANCELLED;
+            return this == TIMEOUT || this == RESET || this == CANCELLED || this == UNATTRIBUTED;
+        }
+
+        /** True if the server said that it has no room, for this request or an earlier one. */
+        public boolean turnedAway() {
+            return this == REJECTED || this == UNATTRIBUTED;
         }
 
         /** True if the server did its part. */
--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -243,7 +243,7 @@
         if (reason.answered() || failed) {
             failing += FAILING_WEIGHT * ((failed ? 1 : 0) - failing);
         }
-        if (reason.answered() || reason == Reason.REJECTED && !suspect) {
+        if (reason.answered() || reason.turnedAway() && !suspect) {
             close(host);
         } else if (reason == Reason.CONNECT_FAILED) {
             strike(now, host, OPEN_AT / 2);
--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -331,7 +331,7 @@
         if (flight.ordered() && outcome.reason().mayRunOn()) {
             order.rest(now, flight.request.key());
         }
-        boolean broken = outcome.reason() == Reason.REJECTED && isIdle(outcome.report());
+        boolean broken = outcome.reason().turnedAway() && isIdle(outcome.report());
         boolean suspect = broken || attempt.overtaken && outcome.reason() == Reason.CANCELLED;
         long took = flight.streaming || flight.request.bulk() ? outcome.took() : now - attempt.sentAt;
         health.onEnd(now, attempt.host, outcome.reason(), took, suspect);
@@ -406,7 +406,7 @@
             // A host that is well enough to report failed: most often its fetch found no room at the origin.
             admission.load(now, Admission.SLOWNESS);
         }
-        boolean full = reason == Reason.REJECTED && !broken && !unexplained;
+        boolean full = reason.turnedAway() && !broken && !unexplained;
         if (!health.isOrigin(attempt.host) && (full || quick && reason.answered())) {
             // A full cache while the origin has room tells of a hot key, not of a full fleet.
             double sign = originQuick(flight) ? Admission.SLOWNESS : Admission.REJECTION;
--- a/src/main/java/eiderscale/check/Event.java
+++ b/src/main/java/eiderscale/check/Event.java
@@ -20,6 +20,8 @@
         END("the answer to attempt %d ends", false),
         /** A host turns a request away. */
         BUSY("attempt %d is turned away", true),
+        /** A rejection comes that answers an earlier request on its connection, late or for a second time. */
+        LATE_BUSY("attempt %d meets a late rejection of an earlier request", true),
         /** A host has tried and failed. */
         FAILED("attempt %d fails", true),
         /** A connection breaks. */
--- a/src/main/java/eiderscale/check/SmallWorld.java
+++ b/src/main/java/eiderscale/check/SmallWorld.java
@@ -165,6 +165,8 @@
         long sentAt;
         /** Its last byte has left; its host may have it. */
         boolean written;
+        /** Its connection has carried another before. */
+        boolean onUsedConnection;
         /** Its host has said that it never ran. */
         boolean neverRan;
         /** The ledger waits for it no more; what has been written may run all the same. */
@@ -330,6 +332,7 @@
                 if (mayFail && !carrier.abandoned) {
                     next.add(new Event(Kind.BUSY, at));
                     next.add(new Event(Kind.LOST, at));
+                    lateBusy(carrier, next);
                 }
             }
             case RUNNING -> {
@@ -341,6 +344,7 @@
                     if (mayFail) {
                         next.add(new Event(Kind.FAILED, at));
                         next.add(new Event(Kind.LOST, at));
+                        lateBusy(carrier, next);
                     }
                 }
             }
@@ -356,6 +360,12 @@
         }
     }
 
+    private static void lateBusy(Carrier carrier, List<Event> next) {
+        if (carrier.onUsedConnection) {
+            next.add(new Event(Kind.LATE_BUSY, carrier.number));
+        }
+    }
+
     private void hostEvents(int host, List<Event> next) {
         if (lists < bounds.lists()) {
             if (listed[host] == State.READY) {
@@ -421,6 +431,7 @@
                 carriers.get(at).neverRan = true;
                 end(carriers.get(at), Reason.REJECTED, true);
             }
+            case LATE_BUSY -> end(carriers.get(at), Reason.REJECTED, true);
             case FAILED -> end(carriers.get(at), Reason.ERROR, true);
             case LOST -> end(carriers.get(at), Reason.RESET, false);
             case TIME -> now = moment();
@@ -526,7 +537,7 @@
 
     private void end(Carrier carrier, Reason reason, boolean kept) {
         carrier.phase = Phase.OVER;
-        if (kept && !ledger.isLeaving(carrier.host + 1)) {
+        if (kept && ledger.attributed(carrier.attempt, reason) != Reason.UNATTRIBUTED && !ledger.isLeaving(carrier.host + 1)) {
             idle[carrier.host]++;
         }
         ledger.ended(now, carrier.attempt, reason, reason == Reason.OK, NO_REPORT, Api.Lookup.UNTOLD);
@@ -635,6 +646,8 @@
         }
         if (idle[carrier.host] > 0) {
             idle[carrier.host]--;
+            carrier.onUsedConnection = true;
+            attempt.onUsedConnection(true);
             writeUnlessHindered(carrier, true);
         }
     }
@@ -743,7 +756,8 @@
         for (Carrier carrier : carriers) {
             if (carrier.phase != Phase.OVER || carrier.mayRun()) {
                 each.add(new Fingerprint().add(carrier.asked.number).add(carrier.attempt.number()).add(carrier.host).add(carrier.phase.ordinal())
-                        .add(carrier.sentAt).add((carrier.written ? 1 : 0) + (carrier.neverRan ? 2 : 0) + (carrier.abandoned ? 4 : 0)).value());
+                        .add(carrier.sentAt).add((carrier.written ? 1 : 0) + (carrier.neverRan ? 2 : 0) + (carrier.abandoned ? 4 : 0)
+                        + (carrier.onUsedConnection ? 8 : 0)).value());
             }
         }
         addSorted(print, each);
--- a/src/main/java/eiderscale/connections/HostLinks.java
+++ b/src/main/java/eiderscale/connections/HostLinks.java
@@ -19,6 +19,7 @@
  * <ol>
  * <li>A request takes the connection to its host that was used last, unless such an old one has been seen to be reset; the
  *     warmest is the least likely to be closed by its host in that moment.
+ * <li>An unsafe request to a host that has lately turned requests away takes a new one: there a rejection is known to be its own.
  * <li>Where there is none it opens one; with no room for that the coldest idle one, of whatever host, is given up, and with
  *     none idle there is no room.
  * <li>An idle one is given up well before its host would ({@link #IDLE_PART} of the time that the settings tell), since a
@@ -33,6 +34,8 @@
 public final class HostLinks<L> {
     /** Part of the hosts' idle time after which a connection is given up. */
     static final double IDLE_PART = 0.6;
+    /** For so long behind a rejection of a host its unsafe requests go on new connections. */
+    static final long RECENT_REJECTION_NS = 10_000_000_000L;
 
     /** One connection, from its opening on. */
     public static final class Entry<L> {
@@ -63,6 +66,14 @@
         /** From which age on it resets idle connections. */
         private final StaleAges ages = new StaleAges();
         private int links;
+        private boolean hasRejected;
+        /** When it last turned a request away; meaningless before the first time. */
+        private long rejectedAt;
+
+        /** Whether an unsafe request is better off on a new connection, where a rejection is known to be its own. */
+        boolean hasRejectedLately(long now) {
+            return hasRejected && now - rejectedAt < RECENT_REJECTION_NS;
+        }
     }
 
     private final int most;
@@ -81,8 +92,8 @@
 
     /**
      * The idle connection that a request to a host is to go on, which is idle no more; null if it needs a new one.
-     * {@code unsafe}: a reset that may have come after it ran would be the end of it; {@code alive}: false for those that
-     * have ended and were not told of yet.
+     * {@code unsafe}: a reset that may have come after it ran, or a rejection that may answer an earlier request, would be the
+     * end of it; {@code alive}: false for those that have ended and were not told of yet.
      */
     public Entry<L> take(long now, long host, boolean unsafe, Predicate<L> alive) {
         Host<L> at = hosts.get(host);
@@ -92,7 +103,7 @@
             entry = at.idle.peekLast();
         }
         // Without room for a new one an old one is better than none.
-        if (entry == null || !at.ages.mayUse(now, now - entry.idleSince, unsafe) && links < most) {
+        if (entry == null || links < most && !mayUse(now, at, entry, unsafe)) {
             return null;
         }
         leaveIdle(entry);
@@ -100,6 +111,16 @@
         return entry;
     }
 
+    private static <L> boolean mayUse(long now, Host<L> at, Entry<L> entry, boolean unsafe) {
+        return at.ages.mayUse(now, now - entry.idleSince, unsafe) && !(unsafe && at.hasRejectedLately(now));
+    }
+
+    /** A host turned away what a connection carried. */
+    public void rejected(long now, Entry<L> entry) {
+        entry.host.hasRejected = true;
+        entry.host.rejectedAt = now;
+    }
+
     /** Whether there is room for a new one; gives up the coldest idle one for it. */
     public boolean mayOpen() {
         if (links < most) {
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -559,6 +559,7 @@
         boolean unsafe = settings.classes().get(carrier.attempt.exchange().work().requestClass()).effect() == Api.Effect.FRAGILE;
         carrier.wire = wires.take(world.now(), to, unsafe, Wire::isUp);
         if (carrier.wire != null) {
+            carrier.attempt.onUsedConnection(true);
             writeUnlessHindered(carrier);
             return;
         }
@@ -650,7 +651,11 @@
         if (carrier.attempt.isOver() || waits(() -> answered(carrier, reason, answer))) {
             return;
         }
-        if (!ledger.isLeaving(carrier.attempt) && carrier.wire.link().isUp()) {
+        if (reason == Reason.REJECTED) {
+            wires.rejected(world.now(), carrier.wire);
+        }
+        boolean unattributed = ledger.attributed(carrier.attempt, reason) == Reason.UNATTRIBUTED;
+        if (!unattributed && !ledger.isLeaving(carrier.attempt) && carrier.wire.link().isUp()) {
             wires.rest(world.now(), carrier.wire);
         } else {
             wires.ended(carrier.wire);
--- a/src/main/java/eiderscale/ledger/Attempt.java
+++ b/src/main/java/eiderscale/ledger/Attempt.java
@@ -28,6 +28,8 @@
     /** The same as the ledger has it; null for one that no list has named. */
     final Ledger.Host target;
     private L link;
+    /** Whether its connection has carried a request before. */
+    private boolean onUsedConnection;
 
     Attempt(Exchange<W, C, L, A> exchange, int number, long host, Ledger.Host target, long sentAt, long cutAt) {
         this.exchange = exchange;
@@ -83,6 +85,15 @@
         link = carrier;
     }
 
+    /** For its driver: whether the connection that carries it has carried a request before. */
+    public void onUsedConnection(boolean used) {
+        onUsedConnection = used;
+    }
+
+    boolean isOnUsedConnection() {
+        return onUsedConnection;
+    }
+
     /** Some more has come of an answer that has begun. */
     public void part(long now) {
         partAt = now;
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -437,7 +437,7 @@
     /** Whether a further effect cannot be ruled out if it goes out now. */
     boolean isSpent(long now, Attempt<W, C, L, A> attempt) {
         Exchange<W, C, L, A> exchange = attempt.exchange();
-        Api.RequestClass requestClass = exchange.terms().settings().classes().get(exchange.work().requestClass());
+        Api.RequestClass requestClass = requestClass(exchange);
         if (requestClass.effect() == Api.Effect.RETRYABLE) {
             return false;
         }
@@ -521,14 +521,15 @@
     }
 
     /**
-     * The one outcome of an attempt; a second one is passed over. {@code answer}: what its host said, null if nothing;
-     * {@code report}, {@code lookup}: as far as that tells them.
+     * The one outcome of an attempt; a second one is passed over. {@code told}: as its driver saw it; see {@link #attributed}.
+     * {@code answer}: what its host said, null if nothing; {@code report}, {@code lookup}: as far as that tells them.
      */
-    public void ended(long now, Attempt<W, C, L, A> attempt, Reason reason, A answer, float[] report, Api.Lookup lookup) {
+    public void ended(long now, Attempt<W, C, L, A> attempt, Reason told, A answer, float[] report, Api.Lookup lookup) {
         enter(now);
         if (attempt.over) {
             return;
         }
+        Reason reason = attributed(attempt, told);
         attempt.over = true;
         attempt.outcome = reason;
         actions.disarm(attempt);
@@ -558,6 +559,21 @@
         });
     }
 
+    /**
+     * What an outcome that a driver saw proves. A rejection names no request: on a connection that has carried requests before
+     * it may answer one of those, late or for a second time, and does not prove that this one never ran. It needs no proof
+     * where repeats do no harm.
+     */
+    public Reason attributed(Attempt<W, C, L, A> attempt, Reason told) {
+        boolean proves = told != Reason.REJECTED || !attempt.isOnUsedConnection()
+                || requestClass(attempt.exchange()).effect() == Api.Effect.RETRYABLE;
+        return proves ? told : Reason.UNATTRIBUTED;
+    }
+
+    private Api.RequestClass requestClass(Exchange<W, C, L, A> exchange) {
+        return exchange.terms().settings().classes().get(exchange.work().requestClass());
+    }
+
     private static final float[] NO_REPORT = {};
 
     void drop(Attempt<W, C, L, A> attempt, Reason reason) {
@@ -788,7 +804,7 @@
 
     /** Whether a client may be told that asking again does no harm: where repeats do none, or nothing can have run. */
     boolean mayRefuse(Exchange<W, C, L, A> exchange) {
-        Api.RequestClass requestClass = exchange.terms().settings().classes().get(exchange.work().requestClass());
+        Api.RequestClass requestClass = requestClass(exchange);
         return requestClass.effect() == Api.Effect.RETRYABLE
                 || requestClass.effect() == Api.Effect.DEDUP && requestClass.group() == Api.Group.ALL || !mayHaveRun(exchange);
     }
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -285,6 +285,11 @@
         return ledger.isLeaving(host);
     }
 
+    @Override
+    public Reason attributed(Attempt<Request, Client, HostPool.Link, Answer> attempt, Reason told) {
+        return ledger.attributed(attempt, told);
+    }
+
     @Override
     public Reason hindrance(Attempt<Request, Client, HostPool.Link, Answer> attempt) {
         // A machine may stop between two lines of one turn: the last look is right before the bytes leave.
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -46,6 +46,9 @@
         /** Whether a host takes nothing new but what is on its way. */
         boolean isLeaving(long host);
 
+        /** What the outcome of an attempt proves, given what its connection has carried. */
+        Reason attributed(Attempt<Request, Client, Link, Answer> attempt, Reason told);
+
         /** How an attempt ends whose connection is up and that may not be written any more; null if it may. */
         Reason hindrance(Attempt<Request, Client, Link, Answer> attempt);
     }
@@ -186,6 +189,8 @@
         private long trailedAt;
         /** Some of it has left, of a request that may run by that. */
         private boolean partly;
+        /** A request has been written on it. */
+        private boolean used;
         private final long number = ++lastLink;
         /** Requests that it has carried, the present one included. */
         private long carried;
@@ -225,6 +230,7 @@
         private void carry(Attempt<Request, Client, Link, Answer> next) {
             attempt = next;
             carried++;
+            next.onUsedConnection(used);
             next.link(this);
         }
 
@@ -269,6 +275,7 @@
                 promise = told;
             }
             sent = promise;
+            used = true;
             channel.writeAndFlush(bytes, promise);
             if (attempt != null) {
                 dialog.sent(attempt.exchange().work(), channel);
@@ -327,8 +334,12 @@
                 } else if (verdict.reason() == Reason.OK && entry.isNew()) {
                     links.welcomed();
                 }
-                // A connection that was one too many stays that.
-                finish(verdict.reason(), verdict.answer(), full || !sent.isSuccess());
+                if (verdict.reason() == Reason.REJECTED) {
+                    links.rejected(Clock.now(), entry);
+                }
+                Reason reason = listener.attributed(attempt, verdict.reason());
+                // A connection that was one too many stays that, and one whose answers cannot be told apart is of no use.
+                finish(reason, verdict.answer(), full || reason == Reason.UNATTRIBUTED || !sent.isSuccess());
             }
         }
 
--- a/src/test/java/eiderscale/check/CheckerTest.java
+++ b/src/test/java/eiderscale/check/CheckerTest.java
@@ -219,6 +219,8 @@
                 new Fault(Module.COPIES_ALL, Wrong.NO_HINDRANCE, unsafe, "goes out again though it may have run"),
                 new Fault(Module.SENDS_BEHIND_ITS_END, Wrong.ANSWERS_AGAIN, bounds(SAFE, 0, 0, 0, 0, false, false), ""),
                 new Fault(Module.TO_ANY_HOST, Wrong.NO_HINDRANCE, drains, "past its grace"),
+                new Fault(Module.RIGHT, Wrong.REJECTION_ALWAYS_PROVES, bounds(List.of(Effect.RETRYABLE, Effect.FRAGILE), 1, 0, 0, 0, false, false),
+                        "though it may have run"),
                 new Fault(Module.RIGHT, Wrong.BEGINS_BLIND, stands(SAFE, 0, 1), "from before a standstill"),
                 new Fault(Module.RIGHT, Wrong.NO_HINDRANCE, stands(SAFE, 0, 1), "from before a standstill"),
                 new Fault(Module.THROWS, Wrong.NOTHING, safe, "unexpected"));
--- a/src/test/java/eiderscale/connections/HostLinksTest.java
+++ b/src/test/java/eiderscale/connections/HostLinksTest.java
@@ -109,6 +109,23 @@
         assertNotNull(links.take(4 * SECOND, 1, true, link -> true), "an old one is better than none");
     }
 
+    @Test
+    void unsafeRequestsToAHostThatHasLatelyRejectedTakeNewConnections() {
+        HostLinks<Link> links = links(2);
+        Link link = open(links, 1);
+        links.rest(0, link.entry);
+        links.rejected(MS, links.take(MS, 1, true, one -> true));
+        links.rest(MS, link.entry);
+        long over = MS + HostLinks.RECENT_REJECTION_NS;
+        assertNull(links.take(over - 1, 1, true, one -> true));
+        assertSame(link.entry, links.take(over, 1, true, one -> true));
+        links.rest(MS, link.entry);
+        assertSame(link.entry, links.take(2 * MS, 1, false, one -> true), "others go on as before");
+        links.rest(MS, link.entry);
+        open(links, 2);
+        assertNotNull(links.take(2 * MS, 1, true, one -> true), "a used one is better than none");
+    }
+
     @Test
     void idleOnesGoBeforeTheirHostsCloseThemAndSoonerWhereTablesAreFull() {
         HostLinks<Link> links = links(10);
--- a/src/test/java/eiderscale/ledger/Mutants.java
+++ b/src/test/java/eiderscale/ledger/Mutants.java
@@ -43,6 +43,8 @@
         NOT_COUNTED,
         /** A standstill is not noticed. */
         BEGINS_BLIND,
+        /** A rejection counts for the present request, whatever its connection has carried. */
+        REJECTION_ALWAYS_PROVES,
         /** A client is told that asking again does no harm, whatever has run. */
         REFUSES_ANYTHING
     }
@@ -56,6 +58,11 @@
                 return wrong == Wrong.NO_HINDRANCE ? null : super.hindrance(now, attempt);
             }
 
+            @Override
+            public Reason attributed(Attempt<W, C, L, A> attempt, Reason told) {
+                return wrong == Wrong.REJECTION_ALWAYS_PROVES ? told : super.attributed(attempt, told);
+            }
+
             @Override
             boolean isSpent(long now, Attempt<W, C, L, A> attempt) {
                 return wrong != Wrong.WINDOW_NOT_SEEN && super.isSpent(now, attempt);
