A watch that falls silent is asked for within 1 s behind its wait, without the module's turn

Cause: all watches fall silent in the first seconds. A call that waits for 20 s was given up 2.5 s behind that, told to the module as a failed call, and asked anew in the module's turn, spread over seconds; the log has 'discovery failed: silence' at 22.99 s and later. What such a watch missed counts as told 2 s behind its wait, at 22 s, and the drain gives 1 s more.

Ruled out: lists that came and were not applied (the balancers that broke the rule were those whose log has the silence), the ledger's grace (0.9 s of 1 s).

Change: a watch is silent 1 s behind its wait, and the list is then asked for at once by a call that is answered at once; only where that is silent or fails does the module hear of a failure.

Result: DiscoveryTest.aWatchThatFallsSilentIsAskedForAtOnceBehindItsWait failed before (never asked again in 40 s by a module that does not subscribe) and passes.

--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -43,10 +43,15 @@
 
     /** How long a watch may wait for news; each call costs discovery work. */
     private static final long WAIT_MS = 20_000;
-    /** Silence for so long past that wait is a failure; a call may stand in line for two seconds. */
-    private static final long SILENCE_MS = 2_500;
-    /** Where news are wanted that there are now. */
+    /**
+     * Silence for so long past that wait ends a watch, and the list is asked for at once: what the watch missed counts as told
+     * 2 s past its wait, and drains give another second.
+     */
+    private static final long WATCH_SILENCE_MS = 1_000;
+    /** How long a call that asks for what there is now may wait for news. */
     private static final long RECHECK_MS = 5;
+    /** Silence for so long past that is a failure; a call may stand in line for two seconds. */
+    private static final long RECHECK_SILENCE_MS = 2_500;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -177,7 +182,8 @@
             }
             begun = Clock.now();
             // Before the connection: a refused one may fail within this very call.
-            silence = loop.schedule(() -> fail("silence"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
+            silence = loop.schedule(this::silent, waitMs + (isRecheck ? RECHECK_SILENCE_MS : WATCH_SILENCE_MS),
+                    TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -266,6 +272,16 @@
             }
         }
 
+        /** Nothing came of it in its time: a watch may have missed news, and anything else has failed. */
+        private void silent() {
+            if (isRecheck) {
+                fail("silence");
+            } else if (!over) {
+                tell("silence");
+                ask();
+            }
+        }
+
         private void fail(String why) {
             if (over) {
                 return;
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -4,6 +4,7 @@
 import eiderscale.config.Json;
 import eiderscale.config.Site;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderscale.platform.Reloads;
@@ -13,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -20,6 +22,9 @@
 
 /** The watch on the list of hosts: from the latest version, and on after every failure. */
 class DiscoveryTest {
+    /** What a long poll missed counts as told so long behind its wait. */
+    private static final long TOLD_BEHIND_WAIT_MS = 2_000;
+
     @TempDir
     Path folder;
     /** What the module was told: the mode and how many hosts. */
@@ -74,7 +79,7 @@
         };
     }
 
-    private static String next(BlockingQueue<String> queue) throws InterruptedException {
+    private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
         return queue.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -107,6 +112,63 @@
         }
     }
 
+    /**
+     * Guards against sends to drained hosts: news that a silent watch missed count as told 2 s behind its wait, so that they are
+     * to be asked for before that, whether or not the module's turn to subscribe has come.
+     */
+    @Test
+    void aWatchThatFallsSilentIsAskedForAtOnceBehindItsWait() throws Exception {
+        BlockingQueue<Long> askedAt = new LinkedBlockingQueue<>();
+        CountDownLatch over = new CountDownLatch(1);
+        FakeHost silent = new FakeHost(peer -> {
+            String request = peer.line();
+            askedAt.add(System.nanoTime());
+            calls.add(request);
+            if (calls.size() > 1) {
+                peer.write(list(44, false, Rig.target("s-9", "127.0.0.1:9", "Terminating")));
+            } else {
+                awaitUnlessInterrupted(over);
+            }
+        });
+        try (silent; Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = silent.endpoint();
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    told.add(mode + " " + servers.size());
+                    if (mode == Api.ListMode.CACHED) {
+                        actions.wakeAt(now, 1);
+                    }
+                }
+
+                @Override
+                public void onTimer(long now, int token) {
+                    actions.subscribe();
+                }
+            };
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            long first = next(askedAt);
+            String watch = calls.peek();
+            long waitMs = Long.parseLong(watch.replaceAll(".*timeout_ms=([0-9]+).*", "$1"));
+            Long second = askedAt.poll(waitMs + Peer.LIMIT_MS, TimeUnit.MILLISECONDS);
+            assertNotNull(second, "never asked again behind " + watch);
+            long behindMs = TimeUnit.NANOSECONDS.toMillis(second - first) - waitMs;
+            assertTrue(behindMs >= 0 && behindMs < TOLD_BEHIND_WAIT_MS, "asked again " + behindMs + " ms behind the wait");
+            assertEquals("DELTA 1", next(told));
+        } finally {
+            over.countDown();
+        }
+    }
+
+    private static void awaitUnlessInterrupted(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A refused connection can fail within the call that opens it; that once left the watch dead for good. */
     @Test
     void aRefusedConnectionIsAFailureAndIsAskedAgain() throws Exception {
