The first call to a moved discovery is given up after 2.5 s of silence, not after 21

What a new address has to tell counts as told 4 s behind SIGHUP.

Change: such a call is as prompt as a recheck; when it is silent it is made again at once.

Result: DiscoveryTest.aSilentFirstCallToAMovedDiscoveryIsMadeAgainInTime failed before (nothing told within 4 s) and passes.

--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -161,6 +161,8 @@
     /** One call, on a connection of its own: what a kept one had in flight when it broke is in doubt. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final boolean isRecheck;
+        /** It asks for what there is now, and waits for no news. */
+        private final boolean isPrompt;
         private final long waitMs;
         private long begun;
         private Future<?> silence;
@@ -173,7 +175,8 @@
 
         Call(boolean isRecheck) {
             this.isRecheck = isRecheck;
-            this.waitMs = isRecheck ? RECHECK_MS : WAIT_MS;
+            this.isPrompt = isRecheck || moved;
+            this.waitMs = isPrompt ? RECHECK_MS : WAIT_MS;
         }
 
         void start() {
@@ -182,7 +185,7 @@
             }
             begun = Clock.now();
             // Before the connection: a refused one may fail within this very call.
-            silence = loop.schedule(this::silent, waitMs + (isRecheck ? RECHECK_SILENCE_MS : WATCH_SILENCE_MS),
+            silence = loop.schedule(this::silent, waitMs + (isPrompt ? RECHECK_SILENCE_MS : WATCH_SILENCE_MS),
                     TimeUnit.MILLISECONDS);
             ChannelFuture up = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -24,6 +24,8 @@
 class DiscoveryTest {
     /** What a long poll missed counts as told so long behind its wait. */
     private static final long TOLD_BEHIND_WAIT_MS = 2_000;
+    /** What a new address of discovery has to tell counts as told so long behind SIGHUP. */
+    private static final long TOLD_BEHIND_MOVE_MS = 4_000;
 
     @TempDir
     Path folder;
@@ -233,6 +235,35 @@
         }
     }
 
+    /** Guards against stale lists behind a move: the first call to the new address may get lost, and its news count 4 s later. */
+    @Test
+    void aSilentFirstCallToAMovedDiscoveryIsMadeAgainInTime() throws Exception {
+        BlockingQueue<String> fresh = new LinkedBlockingQueue<>();
+        CountDownLatch over = new CountDownLatch(1);
+        FakeHost other = new FakeHost(peer -> {
+            fresh.add(peer.line());
+            if (fresh.size() > 1) {
+                peer.write(list(3, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            } else {
+                awaitUnlessInterrupted(over);
+            }
+        });
+        try (FakeHost discovery = discovery(); other; Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            rig.module = (settings, seed, actions) -> recording(actions);
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertNotNull(next(calls));
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:0"));
+            rig.discovery = other.endpoint();
+            Files.writeString(config, rig.config("127.0.0.1:0"));
+            reload(rig, new Reloads(config));
+            assertEquals("FULL 1", told.poll(TOLD_BEHIND_MOVE_MS, TimeUnit.MILLISECONDS));
+        } finally {
+            over.countDown();
+        }
+    }
+
     private static void reload(Rig rig, Reloads file) throws Exception {
         rig.loop.submit(() -> file.reload(rig.node)).get();
     }
