A client that goes behind a bad command, quit or a full pipeline is noticed at once

Cause: ClientConnection.adjust stops reading when the front has no room (64 commands open) and when it quits (a framing fault, quit) with requests open; the end of a connection comes behind what is unread.

Change: while a connection quits, what comes is read and passed over (64 KiB at most); while nothing may be taken in, up to 16 KiB are read ahead, as the HTTP front does already. Left: a client that goes with more than that unread, and one that goes amid a long value that its host does not take.

--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -46,7 +46,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
         if (isGone() || isQuitting()) {
-            bytes.release();
+            discard(bytes);
             return;
         }
         held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -21,8 +21,10 @@
  * one holds no buffer, no parser and no queue: it is the one handler in its pipeline.
  */
 final class MetaConnection extends ClientConnection {
-    /** Requests of one connection that may be open at once; reading stops there. */
+    /** Requests of one connection that may be open at once; no more are taken in then. */
     private static final int MOST_PIPELINED = 64;
+    /** Bytes that are read though nothing may be taken in, so that the end of a client behind them is seen. */
+    private static final int MOST_AHEAD = 16 * 1024;
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
@@ -159,11 +161,14 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         ByteBuf bytes = (ByteBuf) message;
         if (isGone() || isQuitting()) {
-            bytes.release();
+            discard(bytes);
             return;
         }
         held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
         takeIn();
+        if (!isGone() && !isQuitting() && !hasRoom()) {
+            channel().config().setAutoRead(false);
+        }
     }
 
     @Override
@@ -178,6 +183,11 @@
 
     @Override
     protected boolean hasRoom() {
+        return mayTakeIn() || held == null || held.readableBytes() < MOST_AHEAD;
+    }
+
+    @Override
+    protected boolean mayTakeIn() {
         return open < MOST_PIPELINED && Clock.now() >= pausedUntil && wantsBody();
     }
 
@@ -232,7 +242,7 @@
         if (parser.isInBulk() && !passOn()) {
             return null;
         }
-        return mayRead() ? parser.next(held) : null;
+        return mayRead() && mayTakeIn() ? parser.next(held) : null;
     }
 
     /** Passes on what is here of a long value; true if that was the last of it and more may be read behind it. */
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import eiderscale.connections.ConnectionTable.Why;
 import eiderscale.connections.Member;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +20,8 @@
 public abstract class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Bytes of answers, over all connections, that clients may leave unread. */
     private static final long MOST_UNREAD = 8L * 1024 * 1024;
+    /** Bytes behind the last request that are read for the sake of the client's end, and passed over. */
+    private static final int MOST_DISCARDED = 64 * 1024;
 
     private final ClientServer server;
     private final SocketChannel channel;
@@ -31,6 +34,8 @@
     /** The last answer is on its way and the close behind it. */
     private boolean leaving;
     private boolean gone;
+    /** Bytes behind the last request that have been passed over. */
+    private int discarded;
 
     /** A connection that has just come up, to be let in when it becomes active. */
     protected ClientConnection(ClientServer server, SocketChannel channel) {
@@ -46,9 +51,14 @@
     /** Whether not a byte of a further request is here. */
     protected abstract boolean isClean();
 
-    /** Whether one more request may be taken in now, by the front's own limits. */
+    /** Whether more may be read now, by the front's own limits: the end of a client is seen only behind all that it sent. */
     protected abstract boolean hasRoom();
 
+    /** Whether what has been read may be taken in as requests now. */
+    protected boolean mayTakeIn() {
+        return true;
+    }
+
     /** Takes in what was held back, as far as that may be. */
     protected abstract void takeIn();
 
@@ -91,7 +101,20 @@
         quitting = true;
     }
 
-    /** Whether one more request may be taken in now. */
+    /** Passes over what comes behind the last request, and releases it. */
+    protected final void discard(ByteBuf bytes) {
+        discarded += bytes.readableBytes();
+        bytes.release();
+        if (!mayDiscard()) {
+            channel.config().setAutoRead(leaving);
+        }
+    }
+
+    private boolean mayDiscard() {
+        return quitting && discarded < MOST_DISCARDED;
+    }
+
+    /** Whether more may be read as requests now. */
     protected final boolean mayRead() {
         return !gone && !quitting && channel.isWritable() && hasRoom();
     }
@@ -153,7 +176,7 @@
         if (gone || leaving) {
             return;
         }
-        if (ended && open() == 0 && mayRead()) {
+        if (ended && open() == 0 && mayRead() && mayTakeIn()) {
             // All that had come is answered; half a request will not become whole.
             quitting = true;
         }
@@ -174,7 +197,7 @@
                 server.rest(member);
                 tellHalf();
             }
-            channel.config().setAutoRead(!ended && mayRead());
+            channel.config().setAutoRead(!ended && (mayRead() || mayDiscard()));
         }
     }
 
