A host's start time that cannot be is taken for a start at this moment

Cause: HostHealth compared start times of other machines' wall clocks with its own and believed any difference.

Change: StartTimes: a start in the future, or one that is news and older than the last list by more than 10 s, counts from now; any other start time than before is a restart. What the first list says is believed, as nothing else is known then: a balancer that starts while its own wall clock is ahead takes cold hosts for warm, an open risk.

--- a/src/main/java/eiderscale/HostHealth.java
+++ b/src/main/java/eiderscale/HostHealth.java
@@ -64,6 +64,7 @@
     final List<Host> origins = new ArrayList<>();
     final Map<Long, Host> known = new LinkedHashMap<>();
     private final Settings settings;
+    private final StartTimes startTimes;
     private long random;
     private double totalWeight;
     final Capacity capacity = new Capacity();
@@ -86,6 +87,7 @@
 
     HostHealth(Settings settings, long seed) {
         this.settings = settings;
+        this.startTimes = new StartTimes(settings.warmWithin());
         this.random = seed;
     }
 
@@ -99,7 +101,7 @@
         }
         for (Server server : servers) {
             Host host = known.computeIfAbsent(server.id(), Host::new);
-            boolean restarted = server.startedAt() > host.startedAt;
+            boolean restarted = server.startedAt() != host.startedAt;
             host.zone = server.zone();
             host.inOwnZone = host.zone == settings.zone();
             host.kind = server.kind();
@@ -107,14 +109,16 @@
             host.listed = server.weight() > 0 ? server.weight() : 1;
             host.state = server.state();
             host.startedAt = server.startedAt();
-            if (restarted && now - host.startedAt < settings.warmWithin()) {
-                host.coldSince = host.startedAt;
+            long coldSince = restarted ? startTimes.coldSince(now, mode, host.startedAt) : StartTimes.WARM;
+            if (coldSince != StartTimes.WARM) {
+                host.coldSince = coldSince;
                 coldBusy = 1;
                 host.tokens = nextUnit();
                 host.filledAt = now;
                 close(host);
             }
         }
+        startTimes.onList(now, mode);
         rebuild();
     }
 
