A connection that is never idle ends, owing nothing, before the kill that follows SIGTERM

Callers would see: a connection that ends in order and no answer to requests that had reached hosts.

Cause: a stop closed connections as they fell idle; one on which commands overlap never does, and what it had open at the end, the longest deadline and 0.6 s behind SIGTERM, was given up.

Change: when a stop closes connections (0.6 s behind SIGTERM) nothing more is read from those with something open; they end behind their last answer, and what their clients send meanwhile finds an orderly end. What still comes is answered 150 ms before the kill may come, as in an upgrade.

Result: StopUnderPipelineTest, the program as a process, failed before (nine requests that reached hosts have no answer) and passes; the tests of stops, closes, upgrades, reloads and both fronts green.

--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -197,10 +197,15 @@
                 server.rest(member);
                 tellHalf();
             }
-            channel.config().setAutoRead(!ended && (mayRead() || mayDiscard()));
+            channel.config().setAutoRead(!ended && (mayRead() && !isFinishing() || mayDiscard()));
         }
     }
 
+    /** Whether all that will be taken in is here: what a client sends beyond that finds the end of the connection. */
+    private boolean isFinishing() {
+        return server.isFinishing() && open() > 0 && isClean();
+    }
+
     /** Whether half a request is here, seen once all that came has been read. */
     private void tellHalf() {
         if (member != null && !quitting) {
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -16,6 +16,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
@@ -126,12 +127,20 @@
         }
     }
 
-    /** Takes no more connections, and closes those there are as they fall idle. */
+    /**
+     * Takes no more connections, and closes those there are as they fall idle. From those that are not idle nothing more is
+     * read: one on which a client always has a request open would never end otherwise.
+     */
     void close() {
         closing = true;
         unlisten();
         table.stop();
         closeResting();
+        ((SingleThreadEventLoop) loop).registeredChannelsIterator().forEachRemaining(channel -> {
+            if (channel.pipeline().last() instanceof ClientConnection connection && connection.open() > 0) {
+                connection.adjust();
+            }
+        });
     }
 
     /** Takes no more connections, and closes those there are behind their next answer. */
@@ -277,6 +286,11 @@
         unread += change;
     }
 
+    /** Whether a connection on which something is asked reads nothing more behind that. */
+    boolean isFinishing() {
+        return closing;
+    }
+
     /** Whether a connection goes as soon as all it has asked is answered. */
     boolean isClosing() {
         return closing || parting;
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -266,7 +266,14 @@
 
     /** Stops in order; the future is done when every request has been answered and every client is gone. */
     public Future<Void> stop() {
-        return stop(ACCEPT_ON_MS, ACCEPT_ON_MS * Clock.MILLISECOND + longestDeadline());
+        return stop(ACCEPT_ON_MS, endBy());
+    }
+
+    /** Has all that is open or still comes answered before the process may be killed; in nanoseconds from now. */
+    private long endBy() {
+        long end = longestDeadline() + GRANTED - LAST_WAY;
+        balancers.forEach(balancer -> balancer.endBy(Clock.now() + end));
+        return end;
     }
 
     /**
@@ -275,8 +282,7 @@
      * go last.
      */
     public Future<Void> leave() {
-        long end = longestDeadline() + GRANTED - LAST_WAY;
-        balancers.forEach(balancer -> balancer.endBy(Clock.now() + end));
+        long end = endBy();
         server.part();
         return stop(Math.min(PART_MS, end / Clock.MILLISECOND / 2), end);
     }
--- /dev/null
+++ b/src/test/java/eiderscale/platform/StopUnderPipelineTest.java
@@ -0,0 +1,103 @@
+package eiderscale.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** SIGTERM while a client has requests open on its connection at every moment, and goes on sending until the connection ends. */
+class StopUnderPipelineTest {
+    private static final long ANSWER_MS = 200;
+    private static final long EVERY_MS = 20;
+    private static final long BEFORE_STOP_MS = 500;
+    /** SIGKILL may come at the longest deadline, which is 1 s in these settings, plus 0.7 s. */
+    private static final long KILL_MS = 1_700;
+
+    @TempDir
+    Path folder;
+
+    /** Answers after a while, one command of a connection after the other. */
+    private static final class Slow extends Programs.Host {
+        Slow(String name) throws IOException {
+            super(name);
+        }
+
+        @Override
+        void answer(String line, String id, InputStream in, Socket socket) throws IOException {
+            try {
+                Thread.sleep(ANSWER_MS);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            super.answer(line, id, in, socket);
+        }
+    }
+
+    private static String idOf(String line) {
+        for (String word : line.split(" ")) {
+            if (word.startsWith("O")) {
+                return word;
+            }
+        }
+        return "";
+    }
+
+    /** Guards against lost requests: a busy connection must end, in order, before the process may be killed. */
+    @Test
+    void aConnectionThatIsNeverIdleEndsBeforeTheKillAndOwesNothing() throws Exception {
+        Set<String> answered = ConcurrentHashMap.newKeySet();
+        try (Programs programs = new Programs(folder, new Slow("s-a"), new Slow("s-b"))) {
+            Programs.Program program = programs.start().awaitHealth();
+            try (Socket client = programs.client(); BufferedReader answers = Programs.reader(client)) {
+                Thread reads = Programs.daemon(() -> {
+                    for (String line = answers.readLine(); line != null; line = answers.readLine()) {
+                        answered.add(idOf(line));
+                    }
+                    answered.add("orderly end");
+                });
+                long begun = System.nanoTime();
+                boolean told = false;
+                long toldAt = begun;
+                for (int i = 0; reads.isAlive() && (!told || since(toldAt) < KILL_MS); i++) {
+                    if (!told && since(begun) >= BEFORE_STOP_MS) {
+                        program.signal("TERM");
+                        toldAt = System.nanoTime();
+                        told = true;
+                    }
+                    String command = "mg key" + i + " v Or" + i + " Pc=read,t=t,d=1000\r\n";
+                    try {
+                        client.getOutputStream().write(command.getBytes(StandardCharsets.ISO_8859_1));
+                    } catch (IOException e) {
+                        break;
+                    }
+                    reads.join(EVERY_MS);
+                }
+                reads.join(Math.max(1, KILL_MS - since(toldAt)));
+                assertFalse(reads.isAlive(), "the connection is open when the kill may come: " + program.child.log());
+                assertEquals(0, program.end(), "it ends by itself");
+                assertTrue(since(toldAt) <= KILL_MS + TimeUnit.SECONDS.toMillis(1), "in time, but for a slow machine");
+            }
+            assertTrue(answered.remove("orderly end"), "ended by a reset: " + answered.size() + " answers");
+            Set<String> forwarded = new HashSet<>();
+            programs.hosts.forEach(host -> host.commands.forEach(line -> forwarded.add(idOf(line))));
+            forwarded.removeAll(answered);
+            assertEquals(Set.of(), forwarded, "reached a host and have no answer");
+        }
+    }
+
+    private static long since(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+    }
+}
