Commands that wait for room are charged for it, and a stop answers what it reads too late

Found while checking the operators' terms (the deadline passed on is at most what the client has left): a command that waits behind 64 open ones of its connection was taken as if it had just come: 2,993 ms of 3,000 were passed on to a host 812 ms after it was sent.

Change: the time since the connection had no room comes off a command's wait, also for what had to stay unread for 5 ms behind that. A stop refuses at once what it reads along with the rest of half a command on a connection that has others open.

--- a/src/main/java/eiderscale/meta/MetaCommand.java
+++ b/src/main/java/eiderscale/meta/MetaCommand.java
@@ -56,8 +56,11 @@
     private final String className;
     private int waitAt = -1;
 
-    /** {@code own}: makes the id of a command whose client gave none. {@code body}: a value that is not held; or null. */
-    MetaCommand(MetaFrame frame, Site site, Supplier<String> own, Upload body) throws Malformed {
+    /**
+     * {@code own}: makes the id of a command whose client gave none. {@code body}: a value that is not held; or null.
+     * {@code waitedMs}: how long it may have waited here already, in milliseconds, which comes off its client's wait.
+     */
+    MetaCommand(MetaFrame frame, Site site, Supplier<String> own, Upload body, long waitedMs) throws Malformed {
         write = frame.is(0, "ms");
         value = frame.data();
         upload = body;
@@ -103,10 +106,11 @@
         Api.RequestClass c = site.settings.classes().get(requestClass);
         long longest = c.deadline() / Clock.MILLISECOND;
         // No client of this class waits longer: an hour asked for would hold its place for an hour.
-        waitMs = Math.min(longest, whole("d", lenient ? longest : -1));
-        if (waitMs < 0) {
+        long wholeWaitMs = Math.min(longest, whole("d", lenient ? longest : -1));
+        if (wholeWaitMs < 0) {
             throw new Malformed("missing d");
         }
+        waitMs = Math.max(0, wholeWaitMs - waitedMs);
         if (c.effect() == Api.Effect.DEDUP && figure("k") == null) {
             // Without it hosts cannot tell a repeat.
             throw new Malformed("missing k");
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -25,6 +25,8 @@
     private static final int MOST_PIPELINED = 64;
     /** Bytes that are read though nothing may be taken in, so that the end of a client behind them is seen. */
     private static final int MOST_AHEAD = 16 * 1024;
+    /** For so long behind a limit of that, in milliseconds, what is read counts as having waited. */
+    private static final long UNREAD_MS = 5;
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
@@ -45,6 +47,10 @@
     private long pausedUntil;
     private boolean reading;
     private boolean parsing;
+    /** Since when the oldest of what is taken in next may have waited for room; 0 if it has just come. */
+    private long waitsSince;
+    /** What was read ahead had reached its limit: more may have waited unread. */
+    private boolean aheadFull;
     /** An answer is shared with others: it is written when all answers of the turn are there. */
     private boolean gathering;
     /** The command that was read last, and its place, until it is begun. */
@@ -63,6 +69,8 @@
         /** The answer where it is too long to be held; null for any other. */
         private ValueOut value;
         private Taken taken;
+        /** How long its command may have waited for room before it was taken in. */
+        private long waitedMs;
         /** Where it waits for a fetch that others may wait for too. */
         private Place<JoinedReads.Waiter> place;
         private Slot next;
@@ -168,6 +176,24 @@
         takeIn();
         if (!isGone() && !isQuitting() && !hasRoom()) {
             channel().config().setAutoRead(false);
+            aheadFull = true;
+        }
+    }
+
+    /** How long a command that is taken in now may have waited for room, in milliseconds. */
+    private long waitedMs() {
+        return waitsSince == 0 ? 0 : (Clock.now() - waitsSince) / Clock.MILLISECOND;
+    }
+
+    /** Notes since when what could not be taken in waits, and when none of it is left. */
+    private void noteWait() {
+        if (held != null) {
+            waitsSince = waitsSince == 0 && !mayTakeIn() ? Clock.now() : waitsSince;
+        } else if (aheadFull) {
+            aheadFull = false;
+            later(this::noteWait, UNREAD_MS);
+        } else {
+            waitsSince = 0;
         }
     }
 
@@ -235,6 +261,7 @@
         if (parser != null && parser.isBetweenFrames()) {
             parser = null;
         }
+        noteWait();
     }
 
     /** The next command; null if it is not here, or none may be taken in now. */
@@ -302,6 +329,7 @@
     private void add(MetaFrame frame) {
         busy();
         pending = new Slot(this);
+        pending.waitedMs = waitedMs();
         pendingFrame = frame;
         if (first == null) {
             first = pending;
@@ -392,13 +420,13 @@
     }
 
     private void request(Slot slot, MetaFrame frame) {
-        if (isSurplus()) {
+        if (isSurplus() || isBehindTheStop()) {
             refuse(slot, 0);
             return;
         }
         try {
             Upload body = frame.bulk() > 0 ? new Upload(frame.bulk(), this::roomForBody) : null;
-            MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId, body);
+            MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId, body, slot.waitedMs);
             if (core().isOpen(command.id())) {
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -201,6 +201,14 @@
         }
     }
 
+    /**
+     * Whether a request that is read now is one too many for a connection that ends: one that came with the rest of half a
+     * request, behind others that are still open.
+     */
+    protected final boolean isBehindTheStop() {
+        return server.isFinishing() && open() > 1;
+    }
+
     /** Whether all that will be taken in is here: what a client sends beyond that finds the end of the connection. */
     private boolean isFinishing() {
         return server.isFinishing() && open() > 0 && (isClean() || !mayTakeIn());
