A new connection for unsafe work takes the place of an idle one to the same host

Cause: HostLinks let the pool grow by one with each unsafe request to a host that had lately rejected one.

Change: the coldest idle connection to that host is given up for it, also where there is no room for one more.

--- a/src/main/java/eiderscale/connections/HostLinks.java
+++ b/src/main/java/eiderscale/connections/HostLinks.java
@@ -19,7 +19,8 @@
  * <ol>
  * <li>A request takes the connection to its host that was used last, unless such an old one has been seen to be reset; the
  *     warmest is the least likely to be closed by its host in that moment.
- * <li>An unsafe request to a host that has lately turned requests away takes a new one: there a rejection is known to be its own.
+ * <li>An unsafe request to a host that has lately turned requests away takes a new one, for which an idle one to that host is given
+ *     up: there a rejection is known to be its own.
  * <li>Where there is none it opens one; with no room for that the coldest idle one, of whatever host, is given up, and with
  *     none idle there is no room.
  * <li>An idle one is given up well before its host would ({@link #IDLE_PART} of the time that the settings tell), since a
@@ -103,7 +104,12 @@
             entry = at.idle.peekLast();
         }
         // Without room for a new one an old one is better than none.
-        if (entry == null || links < most && !mayUse(now, at, entry, unsafe)) {
+        if (entry == null || links < most && !at.ages.mayUse(now, now - entry.idleSince, unsafe)) {
+            return null;
+        }
+        if (unsafe && at.hasRejectedLately(now)) {
+            // In the place of one that there is, lest unsafe requests fill the pool with connections.
+            retire(at.idle.peekFirst());
             return null;
         }
         leaveIdle(entry);
@@ -111,10 +117,6 @@
         return entry;
     }
 
-    private static <L> boolean mayUse(long now, Host<L> at, Entry<L> entry, boolean unsafe) {
-        return at.ages.mayUse(now, now - entry.idleSince, unsafe) && !(unsafe && at.hasRejectedLately(now));
-    }
-
     /** A host turned away what a connection carried. */
     public void rejected(long now, Entry<L> entry) {
         entry.host.hasRejected = true;
