A connection for which the system has no socket fails on the loop, not on another thread

Cause: where socket() fails (ENFILE, EMFILE, ENOBUFS), Netty never gives the channel a loop and tells its failure on a thread of its own. HostPool and Discovery went on from there, beside the loop that owns the ledger.

Change: both hand the failure to the loop.

--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -200,14 +200,24 @@
                     .connect(address);
             channel = up.channel();
             up.addListener(done -> {
-                if (!done.isSuccess()) {
-                    // Without a descriptor for it the channel never had a loop, and can't be closed.
-                    channel = null;
-                    fail("no connection: " + done.cause().getMessage());
+                if (done.isSuccess()) {
+                    return;
+                }
+                if (loop.inEventLoop()) {
+                    unconnected(done.cause());
+                } else {
+                    // Without a socket the channel never had a loop, and its end is told by a thread of Netty's.
+                    loop.execute(() -> unconnected(done.cause()));
                 }
             });
         }
 
+        private void unconnected(Throwable cause) {
+            // It may never have had a loop, and can't be closed then.
+            channel = null;
+            fail("no connection: " + cause.getMessage());
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -21,6 +22,7 @@
 import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
@@ -71,6 +73,7 @@
     }
 
     private Site site;
+    private final EventLoop loop;
     private final HostProtocol protocol;
     private final Counters counters;
     private final Listener listener;
@@ -81,13 +84,20 @@
     private long lastLink;
 
     HostPool(Site site, EventLoop loop, Counters counters, HostProtocol protocol, int mostLinks, Listener listener) {
+        this(site, loop, counters, protocol, mostLinks, listener, NioSocketChannel::new);
+    }
+
+    /** {@code sockets}: makes sockets; it throws where the system has none to give. */
+    HostPool(Site site, EventLoop loop, Counters counters, HostProtocol protocol, int mostLinks, Listener listener,
+             ChannelFactory<? extends SocketChannel> sockets) {
         this.site = site;
+        this.loop = loop;
         this.protocol = protocol;
         this.counters = counters;
         this.log = new AttemptLog(counters);
         this.links = new HostLinks<>(mostLinks, Link::giveUp);
         this.listener = listener;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ));
         renew(site);
@@ -221,8 +231,14 @@
             }).connect(host.endpoint);
             channel = up.channel();
             up.addListener(done -> {
-                if (!done.isSuccess()) {
+                if (done.isSuccess()) {
+                    return;
+                }
+                if (loop.inEventLoop()) {
                     lost();
+                } else {
+                    // Without a socket the channel never had a loop, and its end is told by a thread of Netty's.
+                    loop.execute(this::lost);
                 }
             });
         }
