--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -124,8 +124,9 @@
         CountDownLatch over = new CountDownLatch(1);
         FakeHost silent = new FakeHost(peer -> {
             String request = peer.line();
-            askedAt.add(System.nanoTime());
+            long at = System.nanoTime();
             calls.add(request);
+            askedAt.add(at);
             if (calls.size() > 1) {
                 peer.write(list(44, false, Rig.target("s-9", "127.0.0.1:9", "Terminating")));
             } else {
