--- a/review/lib/review/Balancer.java
+++ b/review/lib/review/Balancer.java
@@ -38,14 +38,13 @@
     public final String name;
     /** Where clients connect. */
     public final int port;
-    private final Path file;
     private final Process process;
 
     /** Starts it; {@code folder} is the test's own, {@code temporary} becomes {@code TMPDIR}. */
     public Balancer(Config config, Path folder, Path temporary, String label) throws IOException {
         name = config.name();
         port = config.port();
-        file = folder.resolve(label + ".json");
+        Path file = folder.resolve(label + ".json");
         Files.writeString(file, config.json());
         Files.createDirectories(temporary);
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line("run"));
@@ -100,13 +99,6 @@
         throw new IOException(name + " is not ready");
     }
 
-    /** Replaces its configuration file whole. */
-    public void rewrite(Config config) throws IOException {
-        Path part = file.resolveSibling(file.getFileName() + ".part");
-        Files.writeString(part, config.json());
-        Files.move(part, file, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
-    }
-
     /** Sends a signal, named as {@code kill} names it. */
     public void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
--- a/review/lib/review/Client.java
+++ b/review/lib/review/Client.java
@@ -18,16 +18,8 @@
 
     /** Connects. */
     public Client(int port, Record record) throws IOException {
-        this(port, record, 0);
-    }
-
-    /** Connects; its system holds so many bytes that it has not read, 0 for the system's own choice. */
-    public Client(int port, Record record, int receiveBuffer) throws IOException {
         this.record = record;
         socket.setTcpNoDelay(true);
-        if (receiveBuffer > 0) {
-            socket.setReceiveBufferSize(receiveBuffer);
-        }
         socket.connect(new InetSocketAddress("127.0.0.1", port), 2000);
         in = new BufferedInputStream(socket.getInputStream(), 16 * 1024);
     }
--- a/review/lib/review/Host.java
+++ b/review/lib/review/Host.java
@@ -38,8 +38,8 @@
     private final ServerSocket server;
     private final Record record;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-    private volatile long workMs;
-    private volatile long spreadMs;
+    private final long workMs;
+    private final long spreadMs;
 
     /** Listens on a free port; each answer takes {@code workMs} and up to {@code spreadMs} more. */
     public Host(String uid, Record record, long workMs, long spreadMs) throws IOException {
@@ -82,12 +82,6 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** How long answers take from now on. */
-    public void work(long ms, long moreMs) {
-        workMs = ms;
-        spreadMs = moreMs;
-    }
-
     /** Its entry in a list. */
     public String entry(String state, long bootMs) {
         return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint() + "\",\"az\":\"kochi-hall\",\"model\":\"fast-single\","
--- a/review/lib/review/Settings.java
+++ b/review/lib/review/Settings.java
@@ -14,9 +14,7 @@
     }
 
     private final List<RequestClass> classes = new ArrayList<>();
-    private String discovery = "subscribe";
     private int instances = 1;
-    private int attempts = 4;
 
     /** The three classes of the site. */
     public static Settings kochi() {
@@ -31,24 +29,12 @@
         return this;
     }
 
-    /** {@code subscribe}: lists come to those who ask; {@code automatic}: they are pushed. */
-    public Settings discovery(String mode) {
-        discovery = mode;
-        return this;
-    }
-
     /** How many balancers the tier has. */
     public Settings instances(int count) {
         instances = count;
         return this;
     }
 
-    /** Most attempts for one request. */
-    public Settings attempts(int most) {
-        attempts = most;
-        return this;
-    }
-
     /** The object for the balancer of this rank. */
     public String json(int rank) {
         List<String> all = new ArrayList<>();
@@ -58,11 +44,11 @@
         return """
                 {"n-instances":%d,"rank":%d,"tier":0,"stages":["stmt-cache"],"workload":"cache","counted-by":"request",
                  "categories":[%s],
-                 "callers":{"marks-retry":true},"discovery":"%s",
+                 "callers":{"marks-retry":true},"discovery":"subscribe",
                  "family-info":{"mode":"through","origin-kind":-1},
                  "goal":{"whole":0.4,"worst-class":0.1,"worst-tenant":0.4,"worst-window":0.1},
                  "kinds":["fast-single","slow-single"],"zones":["kochi-hall","thrissur-hall","kollam-hall"],"my-zone":0,
-                 "ceilings":{"cancelling":true,"conn-idle-ns":30000000000,"connect-timeout-ns":250000000,"max-attempts":%d,
+                 "ceilings":{"cancelling":true,"conn-idle-ns":30000000000,"connect-timeout-ns":250000000,"max-attempts":4,
                    "max-open":20000,"max-retry-after-ns":2000000000,"may-duplicate":true,"multiplex":1,"peer-messages":false,
                    "probing":true,"retry-after":true,"cpu-us-per-request":10.0,"cpu-us-per-s":15000},
                  "load-report":{"fields":["busy"],"source":"answers"},"over-share-worth":0.05,
@@ -71,6 +57,6 @@
                  "tenants":[{"name":"state-staff","allowance-per-s":2000.0,"fraction":0.43},
                    {"name":"teachers","allowance-per-s":2000.0,"fraction":0.57}],
                  "tick-ns":5000000,"weights":"rough"}
-                """.formatted(instances, rank, String.join(",", all), discovery, attempts);
+                """.formatted(instances, rank, String.join(",", all));
     }
 }
