Answers that wait are held on the heap, within a bound, and sent piece by piece

Cause: an answer that waits for those before it was encoded at once into a buffer outside the heap (MetaConnection.Slot.answer). Nothing bounded their sum, and 24 MB are all there is: from then on each buffer waited inside the JVM for memory on the one event loop and then failed with OutOfMemoryError. Pieces of 40 bytes kept buffers of 512 and more in the same way.

Change: ClientOutput keeps what waits on the heap and gives the socket 32 KB at a time; ledger.AnswerRoom bounds what waits and what still comes from hosts, and an answer without room becomes a short one (busy where a repeat is harmless, else failed). Commands are taken in only as far as their answers are expected to find room. A value that finds no memory while it comes in is passed over, so that the framing stays: MetaParserTest said 'out of memory' and an end of the connection there, and now asks that what follows is read. ReadAhead and Buffers keep no buffer of a whole read for a few bytes.

WaitingAnswersTest answersBehindSlowWritesTakeNoMemoryFromOthers failed before ('expected 9 but was 0') and passes. The same classes serve HTTP.

--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -9,7 +9,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -22,12 +21,7 @@
  * in its pipeline.
  */
 final class HttpConnection extends ClientConnection {
-    /** What a client may send ahead of its answers, in bytes; its leaving is seen while there is room for more. */
-    private static final int MOST_AHEAD = 64 * 1024;
-
     private final HttpFront front;
-    /** What has come and is not read yet; null if there is nothing. */
-    private ByteBuf held;
     /** Null between two requests. */
     private StrictRequestDecoder decoder;
     /** The request that is being read or answered. */
@@ -49,7 +43,7 @@
             discard(bytes);
             return;
         }
-        held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
+        ahead().add(bytes);
         takeIn();
         if (!isGone() && !hasRoom()) {
             channel().config().setAutoRead(false);
@@ -63,20 +57,20 @@
 
     @Override
     protected boolean isClean() {
-        return held == null && decoder == null;
+        return ahead().isEmpty() && decoder == null;
     }
 
     @Override
     protected boolean hasRoom() {
-        return turn == null || held == null || held.readableBytes() < MOST_AHEAD;
+        return turn == null || super.hasRoom();
     }
 
     @Override
     protected void takeIn() {
         if (turn != null) {
-            turn.flow(channel().isWritable());
+            turn.flow(isWritable());
         }
-        if (parsing || held == null && decoder == null) {
+        if (parsing || isClean()) {
             return;
         }
         parsing = true;
@@ -91,15 +85,15 @@
             parsing = false;
         }
         if (isGone() || isQuitting()) {
+            ahead().drop();
             drop();
-        } else if (held != null && !held.isReadable()) {
-            held.release();
-            held = null;
+        } else {
+            ahead().settle();
         }
         if (decoder != null && decoder.isBetween()) {
             decoder = null;
         }
-        if (inBody && turn != null && held == null && hasEnded()) {
+        if (inBody && turn != null && ahead().isEmpty() && hasEnded()) {
             inBody = false;
             turn.spoilt(new BadRequest(400, "the body ended before its end"));
         }
@@ -112,12 +106,12 @@
 
     private boolean readOne() throws Exception {
         if (decoder == null) {
-            if (held == null || !held.isReadable()) {
+            if (ahead().size() == 0) {
                 return false;
             }
             decoder = new StrictRequestDecoder();
         }
-        Object part = decoder.next(held == null ? Unpooled.EMPTY_BUFFER : held);
+        Object part = decoder.next(ahead().isEmpty() ? Unpooled.EMPTY_BUFFER : ahead().bytes());
         if (part == null) {
             return false;
         }
@@ -175,10 +169,6 @@
 
     @Override
     protected void drop() {
-        if (held != null) {
-            held.release();
-            held = null;
-        }
         if (decoder != null) {
             decoder.drop();
             decoder = null;
@@ -204,30 +194,30 @@
         turn = null;
         if (close || inBody) {
             quit();
+            ahead().drop();
             drop();
         }
+        flush();
         adjust();
     }
 
     /** What was written goes out at the end of this turn of the loop. */
     void write(ByteBuf bytes) {
-        int size = bytes.readableBytes();
-        unread(size);
-        channel().write(bytes).addListener(done -> unread(-size));
+        send(bytes);
         if (!flushing) {
             flushing = true;
-            later(this::flush);
+            later(this::flushLater);
         }
     }
 
-    private void flush() {
+    private void flushLater() {
         flushing = false;
-        channel().flush();
+        flush();
     }
 
     /** An answer that cannot be ended as it should: the client must be able to tell. */
     void breakOff(boolean reset) {
-        channel().flush();
+        flush();
         if (reset) {
             channel().config().setSoLinger(0);
         }
@@ -253,6 +243,15 @@
         return isQuitting();
     }
 
+    boolean takes() {
+        return isWritable();
+    }
+
+    /** Whether nothing may follow the answer that is being written. */
+    boolean isLast() {
+        return isStopping();
+    }
+
     boolean surplus() {
         return isSurplus();
     }
--- a/src/main/java/eiderscale/http/HttpProtocol.java
+++ b/src/main/java/eiderscale/http/HttpProtocol.java
@@ -17,7 +17,7 @@
     }
 
     @Override
-    public Front front(Budget budget) {
+    public Front front(Budget budget, Budget answers) {
         return new HttpFront(limits, budget);
     }
 
--- a/src/main/java/eiderscale/http/Reply.java
+++ b/src/main/java/eiderscale/http/Reply.java
@@ -5,7 +5,6 @@
 import eiderscale.http.cache.Fields;
 import eiderscale.http.cache.HttpCache;
 import eiderscale.http.cache.Ranges;
-import eiderscale.net.Clock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -30,8 +29,6 @@
     private boolean bodiless;
     /** Only the close of the connection tells where it ends. */
     private boolean unframed;
-    private boolean blocked;
-    private long blockedAt;
 
     Reply(HttpConnection connection, HttpFront front, Turn turn) {
         this.connection = connection;
@@ -138,6 +135,7 @@
 
     private void write(int status, Fields fields, byte[] body, int from, int length) {
         begun = true;
+        close |= connection.isLast();
         int sent = isHead() ? 0 : length;
         ByteBuf bytes = lead(status, fields, sent <= COPIED ? sent : 0);
         if (sent <= COPIED) {
@@ -170,6 +168,7 @@
     /** The head of an answer whose body follows; {@code length}: of that, negative if it is not told. */
     void head(int status, Fields fields, long length, CacheStatus cacheStatus) {
         begun = true;
+        close |= connection.isLast();
         bodiless = isHead() || status == 204 || status == 304;
         chunked = !bodiless && length < 0 && !request.isOld();
         unframed = !bodiless && length < 0 && request.isOld();
@@ -215,20 +214,4 @@
             connection.breakOff(unframed);
         }
     }
-
-    /** A client that takes nothing for so many nanoseconds is let go. */
-    void flow(boolean writable, long stall) {
-        boolean was = blocked;
-        blocked = !writable && begun && !done;
-        if (blocked && !was && stall > 0) {
-            blockedAt = Clock.now();
-            connection.after(() -> seeBlocked(stall), Math.max(1, stall / Clock.MILLISECOND));
-        }
-    }
-
-    private void seeBlocked(long stall) {
-        if (blocked && !done && !connection.hasLeft() && Clock.now() - blockedAt >= stall) {
-            connection.breakOff(true);
-        }
-    }
 }
--- a/src/main/java/eiderscale/http/Turn.java
+++ b/src/main/java/eiderscale/http/Turn.java
@@ -463,7 +463,7 @@
     @Override
     public void part(ByteBuf bytes) {
         reply.part(bytes);
-        flow(connection.socket().isWritable());
+        flow(connection.takes());
     }
 
     @Override
@@ -546,7 +546,6 @@
                 direct.pause();
             }
         }
-        reply.flow(writable, limits == null ? 0 : limits.stall());
     }
 
     /** The client has left. */
--- a/src/main/java/eiderscale/meta/JoinedReads.java
+++ b/src/main/java/eiderscale/meta/JoinedReads.java
@@ -11,8 +11,6 @@
 import eiderscale.net.Core;
 import eiderscale.net.Joins;
 import eiderscale.ledger.Taken;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.IdentityHashMap;
@@ -25,9 +23,6 @@
  * {@link eiderscale.joining.Joining}. For one event loop.
  */
 final class JoinedReads implements JoinActions<String, JoinedReads.Waiter, JoinedReads.Shared> {
-    /** Longer values are held once, outside the heap, however many clients have yet to take them. */
-    private static final int COPIED = 512;
-
     /** How long after an answer that cannot be shared its key is read by each alone. */
     private static final long APART = 10 * Clock.SECOND;
 
@@ -35,8 +30,8 @@
     interface Waiter {
         MetaCommand command();
 
-        /** What was made for another request. {@code data}: the value with its end, to be retained; null for none. */
-        void shared(MetaFrame answer, ByteBuf data);
+        /** What was made for another request. {@code data}: the value, held once for all; null for none. */
+        void shared(MetaFrame answer, byte[] data);
 
         void refused(long retryAfterMs, Answer last);
 
@@ -48,18 +43,9 @@
     }
 
     /** An answer for many. */
-    static final class Shared {
-        private final MetaFrame frame;
-        private final ByteBuf data;
-
-        Shared(MetaFrame frame) {
-            this.frame = frame;
-            this.data = frame.data() == null || frame.data().length <= COPIED ? null
-                    : Unpooled.directBuffer(frame.data().length + 2).writeBytes(frame.data()).writeByte('\r').writeByte('\n');
-        }
-
+    record Shared(MetaFrame frame) {
         long bytes() {
-            return frame.data() == null ? 0 : frame.data().length;
+            return frame.length();
         }
     }
 
@@ -132,7 +118,7 @@
 
     @Override
     public void serve(Waiter waiter, Shared answer) {
-        waiter.shared(answer.frame, answer.data);
+        waiter.shared(answer.frame(), answer.frame().data());
         served.add(waiter);
     }
 
@@ -143,9 +129,7 @@
 
     @Override
     public void told(Shared answer) {
-        if (answer.data != null) {
-            answer.data.release();
-        }
+        // Nothing to let go of: what is held of it goes with the last who waits.
     }
 
     @Override
@@ -181,7 +165,13 @@
                 joins.look();
                 return;
             }
-            Shared shared = new Shared((MetaFrame) answer);
+            MetaFrame frame = (MetaFrame) answer;
+            if (frame.unheld()) {
+                joins.joining().refused(Clock.now(), flight, 0);
+                joins.look();
+                return;
+            }
+            Shared shared = new Shared(frame);
             joins.joining().answered(Clock.now(), flight, shared, shared.bytes());
             joins.look();
         }
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -1,19 +1,16 @@
 package eiderscale.meta;
 
-import eiderscale.joining.Place;
-import eiderscale.net.Answer;
-import eiderscale.net.Client;
+import eiderscale.ledger.AnswerRoom;
 import eiderscale.net.ClientConnection;
 import eiderscale.net.ClientServer;
 import eiderscale.net.Clock;
-import eiderscale.ledger.Taken;
+import eiderscale.net.Core;
 import eiderscale.net.Upload;
+import eiderscale.values.ValueRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -23,8 +20,15 @@
 final class MetaConnection extends ClientConnection {
     /** Requests of one connection that may be open at once; no more are taken in then. */
     private static final int MOST_PIPELINED = 64;
-    /** Bytes that are read though nothing may be taken in, so that the end of a client behind them is seen. */
-    private static final int MOST_AHEAD = 16 * 1024;
+    /** Commands that are taken in without a rest, lest a client that sends many small ones keeps the others waiting. */
+    private static final int MOST_AT_ONCE = 64;
+    private static final long REST_MS = 1;
+    /** With no more than this read ahead, in bytes, commands are taken again. */
+    private static final int LEAST_OVERRUN = 2 * 1024;
+    /** Bytes of answers that wait, or are expected, from which on no more commands of a connection are taken in. */
+    private static final long MOST_ANSWERS_BYTES = 512 * 1024;
+    /** Of a long value that has nowhere to go so much is read ahead, in bytes. */
+    private static final int MOST_BODY_AHEAD = 16 * 1024;
     /** For so long behind a limit of that, in milliseconds, what is read counts as having waited. */
     private static final long UNREAD_MS = 5;
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
@@ -35,8 +39,8 @@
     private static final long BODY_REST = 2500 * Clock.MILLISECOND;
 
     private final MetaFront front;
-    /** What has come and is not read as commands yet; null if there is nothing. */
-    private ByteBuf held;
+    /** Its part of the memory for answers that wait. */
+    private final AnswerRoom.Share share;
     /** Null between two commands. */
     private MetaParser parser;
     /** Commands that are owed an answer, in their order. */
@@ -51,6 +55,8 @@
     private long waitsSince;
     /** What was read ahead had reached its limit: more may have waited unread. */
     private boolean aheadFull;
+    /** So much has been sent ahead that the end of its client would not be seen: commands are refused until that is less. */
+    private boolean overrun;
     /** An answer is shared with others: it is written when all answers of the turn are there. */
     private boolean gathering;
     /** The command that was read last, and its place, until it is begun. */
@@ -61,108 +67,10 @@
     /** When the last of it came. */
     private long bodyAt;
 
-    /** The place of one command in the order of answers. */
-    private static final class Slot implements Client, JoinedReads.Waiter {
-        private final MetaConnection connection;
-        private MetaCommand command;
-        private ByteBuf answer;
-        /** The answer where it is too long to be held; null for any other. */
-        private ValueOut value;
-        private Taken taken;
-        /** How long its command may have waited for room before it was taken in. */
-        private long waitedMs;
-        /** Where it waits for a fetch that others may wait for too. */
-        private Place<JoinedReads.Waiter> place;
-        private Slot next;
-
-        Slot(MetaConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public MetaCommand command() {
-            return command;
-        }
-
-        @Override
-        public void shared(MetaFrame frame, ByteBuf data) {
-            connection.gathering = true;
-            try {
-                if (data == null) {
-                    served(frame);
-                } else if (!connection.isGone()) {
-                    ByteBuf line = MetaCommand.line(connection.channel().alloc(),
-                            connection.front.hosts().answerLine(command, frame), null);
-                    answer(Unpooled.wrappedBuffer(line, data.retainedDuplicate()));
-                }
-            } finally {
-                connection.gathering = false;
-            }
-        }
-
-        @Override
-        public void given() {
-            connection.flushReady();
-        }
-
-        @Override
-        public void alone() {
-            if (!connection.isGone()) {
-                taken = connection.core().take(command, this);
-            }
-        }
-
-        @Override
-        public void served(Answer answer) {
-            if (answer instanceof MetaValue begun) {
-                begin(begun);
-                return;
-            }
-            MetaFrame frame = (MetaFrame) answer;
-            answer(connection.front.hosts().answerLine(command, frame), frame.data());
-        }
-
-        @Override
-        public void refused(long retryAfterMs, Answer last) {
-            answer(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : "SERVER_ERROR busy\r\n", null);
-        }
-
-        @Override
-        public void failed(Answer last) {
-            answer("SERVER_ERROR failed\r\n", null);
-        }
-
-        private void begin(MetaValue answer) {
-            if (connection.isGone()) {
-                return;
-            }
-            ByteBuf line = MetaCommand.line(connection.channel().alloc(),
-                    connection.front.hosts().answerLine(command, answer.frame), null);
-            value = new ValueOut(connection, answer, line, connection.front.values(), connection.core().site().stallTime);
-            value.start();
-            connection.flushReady();
-        }
-
-        private void answer(String line, byte[] data) {
-            connection.ended(command);
-            if (command != null && command.upload != null) {
-                command.upload.giveUp();
-            }
-            if (!connection.isGone()) {
-                answer(MetaCommand.line(connection.channel().alloc(), line, data));
-            }
-        }
-
-        private void answer(ByteBuf bytes) {
-            answer = bytes;
-            connection.unread(bytes.readableBytes());
-            connection.flushReady();
-        }
-    }
-
     MetaConnection(MetaFront front, ClientServer server, SocketChannel channel) {
         super(server, channel);
         this.front = front;
+        this.share = answers().share();
     }
 
     @Override
@@ -172,11 +80,12 @@
             discard(bytes);
             return;
         }
-        held = held == null ? bytes : ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(ctx.alloc(), held, bytes);
+        ahead().add(bytes);
         takeIn();
         if (!isGone() && !isQuitting() && !hasRoom()) {
             channel().config().setAutoRead(false);
             aheadFull = true;
+            overrun |= uploader == null;
         }
     }
 
@@ -187,7 +96,7 @@
 
     /** Notes since when what could not be taken in waits, and when none of it is left. */
     private void noteWait() {
-        if (held != null) {
+        if (!ahead().isEmpty()) {
             waitsSince = waitsSince == 0 && !mayTakeIn() ? Clock.now() : waitsSince;
         } else if (aheadFull) {
             aheadFull = false;
@@ -204,22 +113,28 @@
 
     @Override
     protected boolean isClean() {
-        return held == null && parser == null;
+        return ahead().isEmpty() && parser == null;
     }
 
     @Override
     protected boolean hasRoom() {
-        return mayTakeIn() || held == null || held.readableBytes() < MOST_AHEAD;
+        return mayTakeIn() || (uploader == null ? super.hasRoom() : ahead().size() < MOST_BODY_AHEAD);
     }
 
     @Override
     protected boolean mayTakeIn() {
-        return open < MOST_PIPELINED && Clock.now() >= pausedUntil && wantsBody();
+        return Clock.now() >= pausedUntil && wantsBody() && (open == 0 || open < MOST_PIPELINED && isRoomExpected());
+    }
+
+    /** Whether a further answer will find memory to wait in, if all that are to come are of the usual size. */
+    private boolean isRoomExpected() {
+        long expected = (open + 1) * front.usualAnswerBytes();
+        return share.held() + expected <= Math.min(MOST_ANSWERS_BYTES, share.most());
     }
 
     /** Whether what is coming in of a long value, if anything, has somewhere to go. */
     private boolean wantsBody() {
-        return uploader == null || uploader.command.upload.wantsMore();
+        return uploader == null || uploader.command().upload.wantsMore();
     }
 
     /** A host takes more of a long value, or none of it any more. */
@@ -231,15 +146,15 @@
 
     @Override
     protected void takeIn() {
-        if (parsing || held == null) {
+        if (parsing || ahead().isEmpty()) {
             return;
         }
         parsing = true;
         if (parser == null) {
             parser = front.parser();
         }
-        MetaFrame frame = next();
-        while (frame != null) {
+        int left = MOST_AT_ONCE;
+        for (MetaFrame frame = next(); frame != null; frame = left > 0 ? next() : null) {
             Slot slot = pending;
             MetaFrame before = pendingFrame;
             // In its place before the last one may be answered: a stop would close upon it.
@@ -249,19 +164,33 @@
                 // What follows it has to have a place to go to.
                 beginPending();
             }
-            frame = next();
+            left--;
         }
         parsing = false;
+        settleAhead();
+        if (left == 0) {
+            rest(REST_MS);
+        }
+        noteWait();
+    }
+
+    private void settleAhead() {
         if (isGone() || isQuitting()) {
+            ahead().drop();
             drop();
-        } else if (held != null && !held.isReadable()) {
-            held.release();
-            held = null;
+        } else {
+            ahead().settle();
+            overrun &= ahead().size() > LEAST_OVERRUN;
         }
         if (parser != null && parser.isBetweenFrames()) {
             parser = null;
         }
-        noteWait();
+    }
+
+    /** Takes nothing in for a while. */
+    private void rest(long ms) {
+        pausedUntil = Math.max(pausedUntil, Clock.now() + ms * Clock.MILLISECOND);
+        later(this::adjust, ms);
     }
 
     /** The next command; null if it is not here, or none may be taken in now. */
@@ -269,20 +198,20 @@
         if (parser.isInBulk() && !passOn()) {
             return null;
         }
-        return mayRead() && mayTakeIn() ? parser.next(held) : null;
+        return mayRead() && mayTakeIn() ? parser.next(ahead().bytes()) : null;
     }
 
     /** Passes on what is here of a long value; true if that was the last of it and more may be read behind it. */
     private boolean passOn() {
-        for (ByteBuf part = wantsBody() ? parser.part(held) : null; part != null; part = wantsBody() ? parser.part(held) : null) {
+        for (ByteBuf part = nextPart(); part != null; part = nextPart()) {
             if (uploader == null) {
                 part.release();
             } else {
                 bodyAt = Clock.now();
-                uploader.command.upload.part(part);
+                uploader.command().upload.part(part);
             }
         }
-        MetaFrame end = wantsBody() ? parser.end(held) : null;
+        MetaFrame end = wantsBody() && !ahead().isEmpty() ? parser.end(ahead().bytes()) : null;
         if (end == null) {
             return false;
         }
@@ -293,20 +222,22 @@
             quit();
             if (ended != null) {
                 // Its host never has the last byte: it does not run, and is answered as that.
-                ended.command.upload.cut();
+                ended.command().upload.cut();
             }
             return false;
         }
         if (ended != null) {
-            ended.command.upload.part(Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1));
-            ended.command.upload.end();
-            if (ended.taken != null) {
-                ended.taken.bodyEnded(Clock.now());
-            }
+            ended.command().upload.part(Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1));
+            ended.command().upload.end();
+            ended.bodyEnded();
         }
         return true;
     }
 
+    private ByteBuf nextPart() {
+        return wantsBody() && !ahead().isEmpty() ? parser.part(ahead().bytes()) : null;
+    }
+
     /** Whether more of a long value has come lately, or its host is what it waits for. */
     private void seeBody(Slot slot) {
         if (uploader != slot || isGone()) {
@@ -319,7 +250,7 @@
         if (now - bodyAt >= BODY_REST) {
             faulty();
             quit();
-            slot.command.upload.cut();
+            slot.command().upload.cut();
             adjust();
         } else {
             later(() -> seeBody(slot), Math.max(1, (bodyAt + BODY_REST - now) / Clock.MILLISECOND));
@@ -328,8 +259,7 @@
 
     private void add(MetaFrame frame) {
         busy();
-        pending = new Slot(this);
-        pending.waitedMs = waitedMs();
+        pending = new Slot(this, waitedMs(), isTooLate());
         pendingFrame = frame;
         if (first == null) {
             first = pending;
@@ -343,10 +273,6 @@
 
     @Override
     protected void drop() {
-        if (held != null) {
-            held.release();
-            held = null;
-        }
         if (parser != null) {
             parser.close();
             parser = null;
@@ -379,7 +305,7 @@
         reading = true;
         if (isQuitting()) {
             // Behind the last one that is served.
-            slot.answer = Unpooled.EMPTY_BUFFER;
+            slot.sayNothing();
         } else if (frame.fault() != null) {
             fault(slot, frame.fault(), frame.last());
         } else {
@@ -399,9 +325,8 @@
         if (isLast || faults >= MOST_FAULTS) {
             quit();
         }
-        pausedUntil = Clock.now() + PENALTY_MS * Clock.MILLISECOND;
-        later(this::adjust, PENALTY_MS);
-        slot.answer(answer + "\r\n", null);
+        rest(PENALTY_MS);
+        slot.say(answer + "\r\n");
     }
 
     private void take(Slot slot, MetaFrame frame) {
@@ -409,21 +334,26 @@
             case "mg", "ms" -> request(slot, frame);
             case "mn" -> {
                 spoke();
-                slot.answer("MN\r\n", null);
+                slot.say("MN\r\n");
             }
             case "quit" -> {
                 quit();
-                slot.answer = Unpooled.EMPTY_BUFFER;
+                slot.sayNothing();
             }
             default -> fault(slot, "ERROR", false);
         }
     }
 
     private void request(Slot slot, MetaFrame frame) {
-        if (isSurplus() || isBehindTheStop()) {
+        if (isSurplus() || slot.isTooLate) {
             refuse(slot, 0);
             return;
         }
+        if (overrun || frame.unheld()) {
+            refusedHere();
+            slot.refused(0, null);
+            return;
+        }
         try {
             Upload body = frame.bulk() > 0 ? new Upload(frame.bulk(), this::roomForBody) : null;
             MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId, body, slot.waitedMs);
@@ -435,7 +365,7 @@
                 refuse(slot, core().retryAfterMs(PLACE_WAIT));
                 return;
             }
-            slot.command = command;
+            slot.command(command);
             if (body != null) {
                 uploader = slot;
                 bodyAt = Clock.now();
@@ -443,13 +373,12 @@
             }
             JoinedReads joined = front.joined(core(), channel().eventLoop());
             if (joined != null && joined.joins(command)) {
-                slot.place = joined.ask(command, slot);
-                joined.look();
+                slot.joins(joined);
             } else {
                 if (joined != null && command.write) {
                     joined.written(command);
                 }
-                slot.taken = core().take(command, slot);
+                slot.take();
             }
             spoke();
         } catch (MetaCommand.Malformed e) {
@@ -458,7 +387,7 @@
     }
 
     /** A command has its answer. Reads that come from here on must see what a write has done. */
-    private void ended(MetaCommand command) {
+    void ended(MetaCommand command) {
         if (command != null && command.write) {
             JoinedReads joined = front.joined(core(), channel().eventLoop());
             if (joined != null) {
@@ -467,7 +396,7 @@
         }
     }
 
-    /** Has no place for it: the connection is closed behind that. */
+    /** Has no place for it, nor for what was sent behind it: the connection is closed behind that. */
     private void refuse(Slot slot, long retryAfterMs) {
         refusedHere();
         quit();
@@ -479,60 +408,73 @@
         if (reading || gathering || isGone()) {
             return;
         }
-        boolean wrote = false;
-        while (first != null && (first.answer != null || first.value != null)) {
-            if (first.value != null && first.value.isLost()) {
-                first.value.drop();
-                first.value = null;
-                first.answer = Unpooled.copiedBuffer("SERVER_ERROR failed\r\n", StandardCharsets.ISO_8859_1);
-                unread(first.answer.readableBytes());
-            }
-            if (first.value != null) {
-                wrote = true;
-                if (!first.value.writeOn()) {
-                    break;
-                }
-                first = first.next;
-                open--;
-                continue;
-            }
-            ByteBuf answer = first.answer;
+        while (first != null && first.isAnswered() && first.sendOn()) {
             first = first.next;
             open--;
-            int bytes = answer.readableBytes();
-            channel().write(answer).addListener(done -> unread(-bytes));
-            wrote = true;
-        }
-        if (wrote) {
-            channel().flush();
         }
+        flush();
         adjust();
     }
 
-    // What a value on its way asks and tells.
+    @Override
+    protected void onTaken() {
+        flushReady();
+    }
+
+    // What its commands' places ask and tell.
 
-    ChannelFuture write(ByteBuf bytes) {
-        return channel().write(bytes);
+    void write(ByteBuf bytes, Runnable onTaken) {
+        send(bytes, onTaken);
     }
 
-    /** So many bytes more, or fewer, are held for its client. */
-    void held(int change) {
-        unread(change);
+    /** Whether the client will soon have taken what has been written. */
+    boolean takes() {
+        return takesMore();
     }
 
-    /** More can be written. */
+    /** An answer may be written. */
     void flow() {
         flushReady();
     }
 
-    void after(Runnable task, long ms) {
-        later(task, ms);
+    /** Runs a task that answers one of many: what it brings is written when all of them are answered. */
+    void gather(Runnable task) {
+        gathering = true;
+        task.run();
+        gathering = false;
     }
 
     boolean isOver() {
         return isGone();
     }
 
+    Core pool() {
+        return core();
+    }
+
+    AnswerRoom.Share share() {
+        return share;
+    }
+
+    ValueRoom values() {
+        return front.values();
+    }
+
+    /** The first line of the answer to a command. */
+    String line(MetaCommand command, MetaFrame frame) {
+        return front.hosts().answerLine(command, frame);
+    }
+
+    /** The answer to a read has come, and is of this size. */
+    void answered(int bytes) {
+        front.answered(bytes);
+    }
+
+    /** There is no memory for an answer to wait in. */
+    void noRoom() {
+        unheld();
+    }
+
     /** What was begun cannot be ended as it should: its client is to see that. */
     void breakOff() {
         channel().close();
@@ -541,21 +483,11 @@
     @Override
     protected void abandon() {
         if (uploader != null) {
-            uploader.command.upload.cut();
+            uploader.command().upload.cut();
             uploader = null;
         }
         for (Slot slot = first; slot != null; slot = slot.next) {
-            if (slot.value != null) {
-                slot.value.drop();
-            }
-            if (slot.answer != null) {
-                unread(-slot.answer.readableBytes());
-                slot.answer.release();
-            } else if (slot.taken != null) {
-                slot.taken.clientGone(Clock.now());
-            } else if (slot.place != null) {
-                front.joined(core(), channel().eventLoop()).leave(slot.place);
-            }
+            slot.abandon(front.joined(core(), channel().eventLoop()));
         }
         first = null;
         open = 0;
--- a/src/main/java/eiderscale/meta/MetaFront.java
+++ b/src/main/java/eiderscale/meta/MetaFront.java
@@ -11,9 +11,14 @@
 
 /** Clients of the meta protocol. */
 final class MetaFront implements Front {
+    /** The part of a further answer in what is usual. */
+    private static final double SMOOTHING = 1.0 / 16;
+
     private final MetaHosts hosts;
     private final Budget budget;
     private final ValueRoom values;
+    /** Bytes of the answer to a read, smoothed over the last ones. */
+    private double usualAnswerBytes;
     /** Made when the first read joins: nothing of it is loaded where none does. */
     private JoinedReads joined;
 
@@ -42,6 +47,16 @@
         return joined;
     }
 
+    /** The answer to a read has come, and is of this size. */
+    void answered(int bytes) {
+        usualAnswerBytes += (bytes - usualAnswerBytes) * SMOOTHING;
+    }
+
+    /** Bytes that the answer to a read has usually had of late. */
+    long usualAnswerBytes() {
+        return (long) usualAnswerBytes;
+    }
+
     MetaHosts hosts() {
         return hosts;
     }
--- a/src/main/java/eiderscale/meta/MetaHosts.java
+++ b/src/main/java/eiderscale/meta/MetaHosts.java
@@ -12,8 +12,13 @@
 
 /** How commands are put to one kind of cache host, what its answers mean, and what clients get of them. */
 abstract class MetaHosts implements HostProtocol {
-    /** Each connection holds one value at most, so that their number bounds this. */
-    private final Budget budget = new Budget(Long.MAX_VALUE);
+    /** Bytes of values that may be held while they come. */
+    private Budget budget = new Budget(0);
+
+    /** Values that are still coming are held within this; to be called before a conversation is opened. */
+    final void holdWithin(Budget answers) {
+        budget = answers;
+    }
 
     /** The bytes of a command; {@code leftMs}: how long the balancer will wait for the answer. */
     abstract ByteBuf encode(MetaCommand command, ByteBufAllocator alloc, long leftMs);
--- a/src/main/java/eiderscale/meta/MetaParser.java
+++ b/src/main/java/eiderscale/meta/MetaParser.java
@@ -11,7 +11,8 @@
 /**
  * Cuts a byte stream into {@link MetaFrame}s, strictly and within bounds. A fault in the framing itself (an
  * overlong line, a length that cannot be, a data block without its end) is the last frame of a stream: parsing
- * on would take somebody's data for commands or answers. Between two frames it remembers nothing.
+ * on would take somebody's data for commands or answers. A value for which there is no memory is passed over, and what
+ * follows it is read. Between two frames it remembers nothing.
  */
 final class MetaParser {
     /** Far above the longest honest line: a key of 250 bytes, an id and a list of figures. */
@@ -32,6 +33,8 @@
     private byte[] data;
     private int length;
     private int filled;
+    /** There was no memory for the value that is coming in: it is passed over. */
+    private boolean unheld;
     /** What is still to come of a value that is not held, its end not counted; negative if there is none. */
     private int bulk = -1;
     private boolean broken;
@@ -158,15 +161,22 @@
         words = tokens;
         data = new byte[0];
         filled = 0;
+        unheld = false;
         return null;
     }
 
     private MetaFrame readData(ByteBuf in) {
         int some = Math.min(length - filled, in.readableBytes());
-        if (filled + some > data.length && !grow(filled + some)) {
-            return breakOff("SERVER_ERROR out of memory", in);
+        if (!unheld && filled + some > data.length && !grow(filled + some)) {
+            unheld = true;
+            budget.giveBack(data.length);
+            data = new byte[0];
+        }
+        if (unheld) {
+            in.skipBytes(some);
+        } else {
+            in.readBytes(data, filled, some);
         }
-        in.readBytes(data, filled, some);
         filled += some;
         if (filled < length || in.readableBytes() < CRLF) {
             return null;
@@ -174,7 +184,8 @@
         if (in.readByte() != '\r' || in.readByte() != '\n') {
             return breakOff(BAD_CHUNK, in);
         }
-        MetaFrame frame = MetaFrame.of(words, data.length == length ? data : Arrays.copyOf(data, length));
+        MetaFrame frame = unheld ? MetaFrame.unheld(words)
+                : MetaFrame.of(words, data.length == length ? data : Arrays.copyOf(data, length));
         dropData();
         return frame;
     }
--- a/src/main/java/eiderscale/meta/MetaProtocol.java
+++ b/src/main/java/eiderscale/meta/MetaProtocol.java
@@ -16,7 +16,8 @@
     }
 
     @Override
-    public Front front(Budget budget) {
+    public Front front(Budget budget, Budget answers) {
+        hosts.holdWithin(answers);
         return new MetaFront(hosts, budget);
     }
 
--- a/src/main/java/eiderscale/meta/ValueOut.java
+++ b/src/main/java/eiderscale/meta/ValueOut.java
@@ -1,7 +1,7 @@
 package eiderscale.meta;
 
 import eiderscale.net.BodySink;
-import eiderscale.net.Clock;
+import eiderscale.net.Buffers;
 import eiderscale.values.ValueRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -18,23 +18,18 @@
     private final MetaValue value;
     private final ByteBuf line;
     private final ValueRoom.Stream room;
-    /** A client that takes nothing for so long, in nanoseconds, is let go. */
-    private final long stall;
     private final Deque<ByteBuf> queued = new ArrayDeque<>();
     /** Its line has been written: nothing else can be answered in its place. */
     private boolean begun;
     private boolean whole;
     private boolean cut;
     private boolean dropped;
-    private boolean watched;
-    private long movedAt = Clock.now();
 
-    ValueOut(MetaConnection connection, MetaValue value, ByteBuf line, ValueRoom all, long stall) {
+    ValueOut(MetaConnection connection, MetaValue value, ByteBuf line) {
         this.connection = connection;
         this.value = value;
         this.line = line;
-        this.stall = stall;
-        this.room = all.begin(value::resume);
+        this.room = connection.values().begin(value::resume);
     }
 
     /** Takes it from here on. */
@@ -47,26 +42,6 @@
     private void look() {
         if (!whole && !cut && !room.mayRead()) {
             value.pause();
-            watch();
-        }
-    }
-
-    private void watch() {
-        if (!watched) {
-            watched = true;
-            connection.after(this::seeStall, Math.max(1, stall / Clock.MILLISECOND));
-        }
-    }
-
-    private void seeStall() {
-        watched = false;
-        if (dropped || room.held() == 0 || connection.isOver()) {
-            return;
-        }
-        if (begun && Clock.now() - movedAt >= stall) {
-            connection.breakOff();
-        } else {
-            watch();
         }
     }
 
@@ -77,8 +52,9 @@
             return;
         }
         room.came(bytes.readableBytes());
-        connection.held(bytes.readableBytes());
-        queued.add(bytes);
+        if (!Buffers.append(queued.peekLast(), bytes)) {
+            queued.add(Buffers.compactWithRoom(bytes));
+        }
         connection.flow();
         look();
     }
@@ -111,22 +87,18 @@
     boolean writeOn() {
         if (!begun) {
             begun = true;
-            connection.write(line);
+            connection.write(line, () -> { });
         }
-        for (ByteBuf bytes = queued.poll(); bytes != null; bytes = queued.poll()) {
+        while (!queued.isEmpty() && connection.takes()) {
+            ByteBuf bytes = queued.remove();
             int size = bytes.readableBytes();
-            connection.write(bytes).addListener(done -> left(size));
+            connection.write(bytes, () -> room.left(size));
         }
-        if (whole) {
-            connection.write(Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1));
+        if (!whole || !queued.isEmpty()) {
+            return false;
         }
-        return whole;
-    }
-
-    private void left(int size) {
-        movedAt = Clock.now();
-        connection.held(-size);
-        room.left(size);
+        connection.write(Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1), () -> { });
+        return true;
     }
 
     /** Its client has gone, or gets another answer: what is held of it is let go. */
@@ -141,7 +113,7 @@
         for (ByteBuf bytes = queued.poll(); bytes != null; bytes = queued.poll()) {
             int size = bytes.readableBytes();
             bytes.release();
-            left(size);
+            room.left(size);
         }
         room.end();
     }
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -2,9 +2,8 @@
 
 import eiderscale.connections.ConnectionTable.Why;
 import eiderscale.connections.Member;
+import eiderscale.ledger.AnswerRoom;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
@@ -19,12 +18,16 @@
  */
 public abstract class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Bytes of answers, over all connections, that clients may leave unread. */
-    private static final long MOST_UNREAD = 8L * 1024 * 1024;
+    private static final long MOST_UNSENT = 8L * 1024 * 1024;
     /** Bytes behind the last request that are read for the sake of the client's end, and passed over. */
     private static final int MOST_DISCARDED = 64 * 1024;
+    /** Turns of reading in which a connection that ends is read empty before others have theirs. */
+    private static final int MOST_LOOKS = 8;
 
     private final ClientServer server;
     private final SocketChannel channel;
+    private final ClientOutput output;
+    private final ReadAhead ahead;
     /** Null until it was let in, and for one that was turned away. */
     private Member<ClientConnection> member;
     /** Nothing more is read as a request; it closes behind the last answer. */
@@ -36,11 +39,44 @@
     private boolean gone;
     /** Bytes behind the last request that have been passed over. */
     private int discarded;
+    /** It ends behind what its client has sent by now, all of which is answered or refused first. */
+    private boolean retiring;
+    /** Its socket has been read empty since it was to end. */
+    private boolean seenEmpty;
+    private boolean looking;
 
     /** A connection that has just come up, to be let in when it becomes active. */
     protected ClientConnection(ClientServer server, SocketChannel channel) {
         this.server = server;
         this.channel = channel;
+        this.output = new ClientOutput(channel, new OutputListener());
+        this.ahead = new ReadAhead(server::readAhead);
+    }
+
+    /** What follows from how a client takes its answers. */
+    private final class OutputListener implements ClientOutput.Listener {
+        @Override
+        public void onTaken() {
+            ClientConnection.this.onTaken();
+        }
+
+        @Override
+        public void onChange(int bytes) {
+            server.unsent(bytes);
+        }
+
+        @Override
+        public void onStall() {
+            server.counters().stalled++;
+            // Not an orderly end, which could be taken for the end of an answer.
+            channel.config().setSoLinger(0);
+            channel.close();
+        }
+
+        @Override
+        public long stallTime() {
+            return server.core(0).site().stallTime;
+        }
     }
 
     // What a front says.
@@ -52,7 +88,9 @@
     protected abstract boolean isClean();
 
     /** Whether more may be read now, by the front's own limits: the end of a client is seen only behind all that it sent. */
-    protected abstract boolean hasRoom();
+    protected boolean hasRoom() {
+        return ahead.size() < server.mostAhead();
+    }
 
     /** Whether what has been read may be taken in as requests now. */
     protected boolean mayTakeIn() {
@@ -62,9 +100,14 @@
     /** Takes in what was held back, as far as that may be. */
     protected abstract void takeIn();
 
-    /** Lets go of what was read and is no request yet: nothing more is taken in. */
+    /** Lets go of what was read in part of a request: nothing more is taken in. */
     protected abstract void drop();
 
+    /** The client has taken some of what waited for it. */
+    protected void onTaken() {
+        adjust();
+    }
+
     /** The client has gone with requests open. */
     protected abstract void abandon();
 
@@ -101,6 +144,51 @@
         quitting = true;
     }
 
+    /** Ends it behind what its client has sent by now; the front refuses the requests among that. */
+    protected final void retire() {
+        retiring = true;
+    }
+
+    /** Whether its process stops: nothing that comes behind the requests that are open is waited for. */
+    protected final boolean isStopping() {
+        return server.isClosing();
+    }
+
+    /** What has come and is not read as requests yet. */
+    protected final ReadAhead ahead() {
+        return ahead;
+    }
+
+    /** Adds to what is sent to the client, by {@link #flush}. {@code onTaken}: told when it is held no longer. */
+    protected final void send(ByteBuf bytes, Runnable onTaken) {
+        output.write(bytes, onTaken);
+    }
+
+    /** The same for what nobody asks after. */
+    protected final void send(ByteBuf bytes) {
+        output.write(bytes);
+    }
+
+    /** Whether the client will soon have taken what waits for it. */
+    protected final boolean takesMore() {
+        return output.takesMore();
+    }
+
+    /** Sends what the client takes; the rest follows as it takes that. */
+    protected final void flush() {
+        output.flush();
+    }
+
+    /** Whether the client takes its answers, but for some that may wait. */
+    protected final boolean isWritable() {
+        return !output.isBehind();
+    }
+
+    /** The memory of all connections' answers. */
+    protected final AnswerRoom answers() {
+        return server.answers();
+    }
+
     /** Passes over what comes behind the last request, and releases it. */
     protected final void discard(ByteBuf bytes) {
         discarded += bytes.readableBytes();
@@ -116,7 +204,7 @@
 
     /** Whether more may be read as requests now. */
     protected final boolean mayRead() {
-        return !gone && !quitting && channel.isWritable() && hasRoom();
+        return !gone && !quitting && isWritable() && hasRoom();
     }
 
     /** A request has been read, good or bad. */
@@ -155,9 +243,9 @@
         return server.asksFor(member, tenant);
     }
 
-    /** So many bytes more, or fewer, of answers are not taken by their clients yet. */
-    protected final void unread(int change) {
-        server.unread(change);
+    /** An answer finds no memory to wait in, and its request gets a short one. */
+    protected final void unheld() {
+        server.counters().unheld++;
     }
 
     /** Runs a task behind the reads of this turn of the loop. */
@@ -173,45 +261,81 @@
     /** Reads on, stops reading, or closes, as its open requests and its client's reading allow. */
     protected final void adjust() {
         takeIn();
+        if (isEnding()) {
+            look();
+        }
         if (gone || leaving) {
             return;
         }
-        if (ended && open() == 0 && mayRead() && mayTakeIn()) {
+        boolean isDone = isDone();
+        if (ended && isDone && mayRead() && mayTakeIn()) {
             // All that had come is answered; half a request will not become whole.
             quitting = true;
         }
-        if (open() == 0 && server.isClosing() && !quitting && closeUnlessAsked(Why.STOP)) {
+        if (isDone && !quitting && (retiring ? retireUnlessAsked() : server.isClosing() && closeUnlessAsked(Why.STOP))) {
             return;
         }
-        if (open() == 0 && quitting) {
-            // Behind what is still being written: a close at once would cut a long answer short.
+        if (isDone && quitting) {
             leaving = true;
             server.closing(member, false);
             channel.config().setAutoRead(false);
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-        } else if (server.unread() > MOST_UNREAD && !channel.isWritable()) {
+            channel.close();
+            return;
+        }
+        if (server.unsent() > MOST_UNSENT && !isWritable()) {
             // A client that does not read its answers must not take the memory of the others.
             channel.close();
-        } else {
-            if (open() == 0) {
-                server.rest(member);
-                tellHalf();
-            }
-            channel.config().setAutoRead(!ended && (mayRead() && !isFinishing() || mayDiscard()));
+            return;
         }
+        if (isDone) {
+            server.rest(member);
+            tellHalf();
+        }
+        channel.config().setAutoRead(!ended && (mayRead() && !isFinishing() || mayDiscard()));
+    }
+
+    /** Whether all that was asked is answered and the client has all of that. */
+    private boolean isDone() {
+        return open() == 0 && !output.isWaiting();
+    }
+
+    /** Whether it goes behind what has been sent by now. */
+    private boolean isEnding() {
+        return retiring || server.isFinishing();
     }
 
     /**
-     * Whether a request that is read now is one too many for a connection that ends: one that came with the rest of half a
-     * request, behind others that are still open.
+     * Reads what its client has sent by now, so that all of it is answered or refused before the connection ends. Where
+     * there is no room for that it goes on as soon as there is.
      */
-    protected final boolean isBehindTheStop() {
-        return server.isFinishing() && open() > 1;
+    private void look() {
+        if (looking) {
+            return;
+        }
+        looking = true;
+        for (int i = 0; i < MOST_LOOKS && !seenEmpty && !gone && !leaving && !ended && mayRead(); i++) {
+            ((AbstractNioChannel) channel).unsafe().read();
+        }
+        looking = false;
+    }
+
+    /** Ends it once all that has come is answered, but for half a request; false while more may be in its socket. */
+    private boolean retireUnlessAsked() {
+        if (!seenEmpty) {
+            return false;
+        }
+        linger();
+        return true;
+    }
+
+    /** Whether a request that is being read is one too many for a connection that ends, and is refused. */
+    protected final boolean isTooLate() {
+        return retiring || server.isFinishing() && (open() > 0 || seenEmpty);
     }
 
     /** Whether all that will be taken in is here: what a client sends beyond that finds the end of the connection. */
     private boolean isFinishing() {
-        return server.isFinishing() && open() > 0 && (isClean() || !mayTakeIn());
+        return isEnding() && seenEmpty && open() > 0 && (isClean() || !mayTakeIn());
     }
 
     /** Whether half a request is here, seen once all that came has been read. */
@@ -235,13 +359,13 @@
         }
         boolean gently = why == Why.STOP || why == Why.IDLE
                 || why != Why.SILENCE && member.state() == Member.State.IDLE;
-        if (channel.config().isAutoRead()) {
+        if (channel.config().isAutoRead() || gently && mayRead()) {
             ((AbstractNioChannel) channel).unsafe().read();
         }
         if (gone || leaving) {
             return true;
         }
-        if (open() > 0 || gently && !isClean()) {
+        if (!isDone() || gently && !isClean()) {
             return false;
         }
         if (gently) {
@@ -255,14 +379,15 @@
         return true;
     }
 
-    /** Behind what is still being written; what comes meanwhile is read and let drop, lest it makes a reset. */
+    /** Tells the client; what comes meanwhile is read and let drop, lest it makes a reset. */
     private void linger() {
         quitting = true;
         leaving = true;
+        ahead.drop();
         drop();
         server.closing(member, true);
         channel.config().setAutoRead(true);
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> channel.shutdownOutput());
+        channel.shutdownOutput();
     }
 
     @Override
@@ -277,6 +402,10 @@
     @Override
     public final void channelReadComplete(ChannelHandlerContext ctx) {
         tellHalf();
+        if (isEnding() && !seenEmpty && server.hasReadAll()) {
+            seenEmpty = true;
+            adjust();
+        }
     }
 
     /** The end of a client's sending, where that is not its end. */
@@ -303,6 +432,8 @@
         if (member != null) {
             server.gone(member);
         }
+        output.close();
+        ahead.drop();
         drop();
         abandon();
     }
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -5,6 +5,8 @@
 import eiderscale.connections.ConnectionTable.Why;
 import eiderscale.connections.Member;
 import eiderscale.connections.TimingWheel;
+import eiderscale.ledger.AnswerRoom;
+import eiderscale.ledger.Budget;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
@@ -17,7 +19,6 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SingleThreadEventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -43,7 +44,10 @@
     /** Connections that may be closed in one turn, lest those that fall due together stall those that are served. */
     private static final int MOST_CLOSES = 64;
     private static final long TICK = 50 * Clock.MILLISECOND;
-    private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(32 * 1024, 128 * 1024);
+    /** What a connection may be read ahead, so that its end is seen; and where all together are ahead by much. */
+    private static final int MOST_AHEAD_BYTES = 128 * 1024;
+    private static final int LEAST_AHEAD_BYTES = 4 * 1024;
+    private static final long MOST_AHEAD_IN_ALL_BYTES = 4L * 1024 * 1024;
 
     private final List<Balancer> balancers;
     private final EventLoop loop;
@@ -51,6 +55,8 @@
     private final Front front;
     /** Whether a client that has ended its sending is still there. */
     private final boolean halfClose;
+    private final Budget answerBytes;
+    private final AnswerRoom answers;
     private final TimingWheel wheel = new TimingWheel(TICK, Clock.now());
     private final ConnectionTable<ClientConnection> table;
     /**
@@ -63,7 +69,10 @@
     private final List<Channel> servers = new ArrayList<>();
     private boolean shared;
     private boolean roomWanted;
-    private long unread;
+    /** Bytes of answers, over all connections, that clients have not taken. */
+    private long unsent;
+    /** Bytes that are kept, over all connections, of what clients have sent ahead. */
+    private long ahead;
     /** Connections go behind their next answer. */
     private boolean parting;
     private boolean closing;
@@ -71,8 +80,10 @@
     private long sweptAt = Clock.now();
 
     ClientServer(List<Balancer> balancers, EventLoop loop, Counters counters, Front front, ConnectionLimits limits,
-                 boolean halfClose) {
+                 boolean halfClose, Budget answers) {
         this.halfClose = halfClose;
+        this.answerBytes = answers;
+        this.answers = new AnswerRoom(answers);
         this.balancers = List.copyOf(balancers);
         this.front = front;
         this.loop = loop;
@@ -94,7 +105,6 @@
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_AT_ONCE))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, () -> reads)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, halfClose)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -277,13 +287,38 @@
         return balancers.get(pool);
     }
 
-    /** Bytes of answers, over all connections, that clients have not taken. */
-    long unread() {
-        return unread;
+    /** So many bytes more, or fewer, of answers wait for their clients. */
+    void unsent(int change) {
+        unsent += change;
+    }
+
+    long unsent() {
+        return unsent;
+    }
+
+    /** So many bytes more, or fewer, are kept of what clients have sent ahead. */
+    void readAhead(int change) {
+        ahead += change;
+    }
+
+    /** Bytes that a connection may be read ahead of what is taken in. */
+    int mostAhead() {
+        return ahead < MOST_AHEAD_IN_ALL_BYTES ? MOST_AHEAD_BYTES : LEAST_AHEAD_BYTES;
+    }
+
+    /** Whether the read that is being told of found nothing more in its socket. */
+    boolean hasReadAll() {
+        return reads.lastBytesRead() <= 0;
+    }
+
+    /** The memory of all connections' answers. */
+    AnswerRoom answers() {
+        return answers;
     }
 
-    void unread(int change) {
-        unread += change;
+    /** What its connections hold at present. */
+    String gauges() {
+        return "answers-held " + answerBytes.held() + " unsent " + unsent + " ahead " + ahead;
     }
 
     /** Whether a connection on which something is asked reads nothing more behind that. */
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -29,6 +29,10 @@
     long timedOut;
     long retired;
     long turnedAway;
+    /** Clients' connections that were cut as their clients took nothing of their answers. */
+    long stalled;
+    /** Answers for which there was no memory to wait in. */
+    long unheld;
     /** Answers that came on connections to hosts on which nothing was asked, and such that were for another request. */
     long unsolicited;
     long mismatched;
@@ -39,9 +43,9 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d refused %d failed %d gone %d departed %d malformed %d last-calls %d | connects %d"
-                + " tables-full %d local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d | timers %d late %d worst %.1f ms |", ledger.taken(), ledger.served(), ledger.refused(),
+                + " tables-full %d local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d stalled %d unheld %d | timers %d late %d worst %.1f ms |", ledger.taken(), ledger.served(), ledger.refused(),
                 ledger.failed(), ledger.clientsGone(), departed, malformed, ledger.lastCalls(), connects, tablesFull,
-                ledger.localRefusals(), evicted, eased, timedOut, retired, turnedAway, ledger.timers(), ledger.lateTimers(),
+                ledger.localRefusals(), evicted, eased, timedOut, retired, turnedAway, stalled, unheld, ledger.timers(), ledger.lateTimers(),
                 ledger.takeLatest() / 1e6));
         for (Reason reason : Reason.values()) {
             if (ledger.outcomes(reason) > 0) {
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -71,10 +71,11 @@
         balancers = configs.stream().map(one -> new Balancer(one, loop, counters, module, budget, protocol.hosts(), links,
                         maintenance))
                 .toList();
-        front = protocol.front(budget);
+        Budget answers = new Budget(config.heldBytes());
+        front = protocol.front(budget, answers);
         server = new ClientServer(balancers, loop, counters, front,
                 ConnectionLimits.of(plan.clients(), plan.surplus(), plan.easy(), clients.perSource(),
-                        clients.perTenant(), clients.idle()), clients.halfClose());
+                        clients.perTenant(), clients.idle()), clients.halfClose(), answers);
     }
 
     /** Begins to listen at its first address: from then on it is ready to serve. */
@@ -221,7 +222,7 @@
     /** What is open, held and waited for at present. */
     public String gauges() {
         return "clients " + server.clients() + " told-to-go " + server.toldToGo() + " held " + budget.held() + " out " + maintenance.size() + " "
-                + String.join(" ", balancers.stream().map(Balancer::gauges).toList()) + front.gauges();
+                + String.join(" ", balancers.stream().map(Balancer::gauges).toList()) + " " + server.gauges() + front.gauges();
     }
 
     /** A list of hosts from elsewhere than discovery. */
--- a/src/main/java/eiderscale/net/Upload.java
+++ b/src/main/java/eiderscale/net/Upload.java
@@ -82,7 +82,7 @@
         if (over || !bytes.isReadable()) {
             bytes.release();
         } else {
-            waiting.add(bytes);
+            waiting.add(Buffers.compact(bytes));
             writeOn();
         }
     }
@@ -93,7 +93,6 @@
         writeOn();
     }
 
-    /** The client has ended it before its end: the host must not take it for whole. */
     /** Whether it ended before its end, which is nobody's fault but its client's. */
     public boolean isCut() {
         return cut;
