--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -17,8 +17,6 @@
  * are; it reports each change of what is open by {@link #adjust}. For one event loop.
  */
 public abstract class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** Bytes of answers, over all connections, that clients may leave unread. */
-    private static final long MOST_UNSENT = 8L * 1024 * 1024;
     /** Bytes behind the last request that are read for the sake of the client's end, and passed over. */
     private static final int MOST_DISCARDED = 64 * 1024;
     /** Turns of reading in which a connection that ends is read empty before others have theirs. */
@@ -282,11 +280,6 @@
             channel.close();
             return;
         }
-        if (server.unsent() > MOST_UNSENT && !isWritable()) {
-            // A client that does not read its answers must not take the memory of the others.
-            channel.close();
-            return;
-        }
         if (isDone) {
             server.rest(member);
             tellHalf();
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -292,10 +292,6 @@
         unsent += change;
     }
 
-    long unsent() {
-        return unsent;
-    }
-
     /** So many bytes more, or fewer, are kept of what clients have sent ahead. */
     void readAhead(int change) {
         ahead += change;
--- a/src/test/java/eiderscale/platform/WaitingAnswersTest.java
+++ b/src/test/java/eiderscale/platform/WaitingAnswersTest.java
@@ -128,4 +128,35 @@
             assertEquals(0, program.stop());
         }
     }
+
+    /** Guards against the loss of requests: connections of clients that read at once were closed for what others had waiting. */
+    @Test
+    void clientsThatReadTheirAnswersAreNotClosed() throws Exception {
+        int clients = 12;
+        int reads = 40;
+        int rounds = 3;
+        try (Programs programs = new Programs(folder, new Slow("s-0", 10), new Slow("s-1", 10), new Slow("s-2", 10),
+                new Slow("s-3", 10), new Slow("s-4", 10), new Slow("s-5", 10))) {
+            programs.patient(WAIT_MS);
+            programs.sockets = 1024;
+            Program program = programs.start().awaitHealth();
+            ExecutorService threads = Executors.newCachedThreadPool();
+            for (int round = 0; round < rounds; round++) {
+                List<Future<Integer>> answered = new ArrayList<>();
+                for (int i = 0; i < clients; i++) {
+                    StringBuilder commands = new StringBuilder();
+                    for (int k = 0; k < reads; k++) {
+                        String id = round + "-" + i + "-" + k;
+                        commands.append(read("large" + id, id));
+                    }
+                    answered.add(threads.submit(() -> ask(programs, commands.toString(), reads)));
+                }
+                for (Future<Integer> one : answered) {
+                    assertEquals(reads, one.get(Programs.LIMIT_MS, TimeUnit.MILLISECONDS), "each read has its answer");
+                }
+            }
+            threads.shutdown();
+            assertEquals(0, program.stop());
+        }
+    }
 }
