What was read is served or refused before its connection ends

Cause: the refusal of the first command behind the stop made the connection quit, and what had been read behind that was let go; what was unread in the socket was never read.

--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -399,7 +399,7 @@
     /** Has no place for it, nor for what was sent behind it: the connection is closed behind that. */
     private void refuse(Slot slot, long retryAfterMs) {
         refusedHere();
-        quit();
+        retire();
         slot.refused(retryAfterMs, null);
     }
 
--- a/src/test/java/eiderscale/platform/StopUnderPipelineTest.java
+++ b/src/test/java/eiderscale/platform/StopUnderPipelineTest.java
@@ -10,10 +10,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -109,6 +111,40 @@
         }
     }
 
+    /** Guards against lost requests: what had been read of a full pipeline was let go at a stop, neither served nor refused. */
+    @Test
+    void eachCommandOfAFullPipelineIsAnsweredAtAStop() throws Exception {
+        int clients = 3;
+        int commands = 200;
+        try (Programs programs = new Programs(folder, new Slow("s-a"), new Slow("s-b"))) {
+            Programs.Program program = programs.start().awaitHealth();
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                StringBuilder all = new StringBuilder();
+                for (int j = 0; j < commands; j++) {
+                    all.append("mg key" + j + " v Or" + i + "-" + j + " Pc=read,t=t,d=1000\r\n");
+                }
+                sockets.add(programs.client());
+                sockets.get(i).getOutputStream().write(all.toString().getBytes(StandardCharsets.ISO_8859_1));
+            }
+            Thread.sleep(ANSWER_MS / 2);
+            program.signal("TERM");
+            for (Socket socket : sockets) {
+                try (socket; BufferedReader answers = Programs.reader(socket)) {
+                    int answered = 0;
+                    for (String line = answers.readLine(); line != null; line = answers.readLine()) {
+                        if (line.startsWith("VA ")) {
+                            answers.readLine();
+                        }
+                        answered++;
+                    }
+                    assertEquals(commands, answered, "each is served or refused: " + program.child.log());
+                }
+            }
+            assertEquals(0, program.end());
+        }
+    }
+
     private static long since(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
     }
