A long write is answered in its client's time, however slowly its host reads

Every long write told its host 20 s too much. A client whose long write was refused early and that wrote on was cut off after 2.5 s, which may be the 'Broken pipe' that LongValuesTest once showed.

Cause: Ledger.take added 20 s to the deadline of a request with a body that is not held, until its end was read; while the host took nothing the end that lay in the client's socket was not read. The time of half a command also ran for values of any length.

Change: the client's wait begins with the first moment in which its last byte may have been sent (Taken.bodyCame): when what it sent is not read to the end. While all of that has been read and the end is not there, the 20 s bound the upload. The host is told no more than the client's own wait. A long value has a time between two pieces, and none as a whole. Bodies on their way to hosts share an account (Upload, ValueRoom), so that many at once stay within it. The module lets a request with such a body use its whole deadline.

--- a/src/main/java/eiderscale/Flight.java
+++ b/src/main/java/eiderscale/Flight.java
@@ -48,7 +48,8 @@
         this.request = request;
         this.requestClass = requestClass;
         long aim = requestClass.aim() + (long) (requestClass.aimStretch() * request.work());
-        this.usefulUntil = requestClass.lateWorth() > 0 || requestClass.stream()
+        // The time of a request with a body that is still coming begins when that has come.
+        this.usefulUntil = requestClass.lateWorth() > 0 || requestClass.stream() || request.bulk()
                 ? request.deadline() : Math.min(request.deadline(), now + aim);
         this.attempts = new Attempt[mostAttempts];
     }
--- a/src/main/java/eiderscale/http/HttpFront.java
+++ b/src/main/java/eiderscale/http/HttpFront.java
@@ -10,11 +10,13 @@
 import eiderscale.net.Clock;
 import eiderscale.net.Counters;
 import eiderscale.net.Front;
+import eiderscale.values.ValueRoom;
 import io.netty.channel.socket.SocketChannel;
 
 /** Clients that speak HTTP/1.1: what their connections share. For one event loop. */
 final class HttpFront implements Front {
     private final Budget budget;
+    private final ValueRoom uploads;
     private final String name;
     private final String via;
     /** Null where nothing is cached. */
@@ -29,6 +31,7 @@
 
     HttpFront(HttpRules.Limits limits, Budget budget) {
         this.budget = budget;
+        this.uploads = new ValueRoom(budget.most() / 2);
         this.name = limits.name();
         this.via = "1.1 " + name;
         this.store = limits.cache() == 0 ? null : new Store(limits.cache(), limits.largestObject(), Counters::log);
@@ -63,6 +66,11 @@
         return budget;
     }
 
+    /** The bytes that bodies on their way to hosts may hold. */
+    ValueRoom uploads() {
+        return uploads;
+    }
+
     /** Null where nothing is cached. */
     HttpCache cache() {
         return cache;
--- a/src/main/java/eiderscale/http/Turn.java
+++ b/src/main/java/eiderscale/http/Turn.java
@@ -215,7 +215,7 @@
     }
 
     private void stream() {
-        upload = new Upload(head.length(), connection::look);
+        upload = new Upload(head.length(), front.uploads(), connection::look);
     }
 
     /** Whether more of its body can be used now. */
--- a/src/main/java/eiderscale/ledger/Attempt.java
+++ b/src/main/java/eiderscale/ledger/Attempt.java
@@ -11,6 +11,8 @@
     /** When it was sent; where a body follows that is not held, when all of that had come. */
     long sentAt;
     long cutAt;
+    /** The module's own word on when it ends. */
+    final long mostCutAt;
     /** Set once, with the attempt's one outcome. */
     boolean over;
     /** It has not gone out: whether its host still wants it is not known. */
@@ -31,13 +33,15 @@
     /** Whether its connection has carried a request before. */
     private boolean onUsedConnection;
 
-    Attempt(Exchange<W, C, L, A> exchange, int number, long host, Ledger.Host target, long sentAt, long cutAt) {
+    Attempt(Exchange<W, C, L, A> exchange, int number, long host, Ledger.Host target, long sentAt, long cutAt,
+            long mostCutAt) {
         this.exchange = exchange;
         this.number = number;
         this.host = host;
         this.target = target;
         this.sentAt = sentAt;
         this.cutAt = cutAt;
+        this.mostCutAt = mostCutAt;
     }
 
     /** The request that it is made for. */
@@ -65,6 +69,11 @@
         return cutAt;
     }
 
+    /** How much of its client's wait is left, in nanoseconds: all of it while the client has yet to send the rest of a body. */
+    public long waitLeft(long now) {
+        return Math.min(cutAt - now, exchange.work().waitNs());
+    }
+
     /** How it ended; null while it is out. */
     public Api.Reason outcome() {
         return outcome;
--- a/src/main/java/eiderscale/ledger/Exchange.java
+++ b/src/main/java/eiderscale/ledger/Exchange.java
@@ -16,6 +16,10 @@
     final List<Attempt<W, C, L, A>> attempts = new ArrayList<>(2);
     /** The latest moment for a final answer. */
     long deadline;
+    /** By then a body that is not held must have come, and its request be answered. */
+    final long bodyDeadline;
+    /** The client has yet to send the rest of a body that is not held: it does not wait for an answer. */
+    boolean isBodyAwaited;
     int pending;
     /** It is on record, or about to be; until that is sure it does not begin. */
     boolean recorded;
@@ -36,12 +40,13 @@
     private final C client;
     private A last;
 
-    Exchange(long id, W work, C client, Generation<W, C, L, A> generation, long deadline) {
+    Exchange(long id, W work, C client, Generation<W, C, L, A> generation, long deadline, long bodyDeadline) {
         this.id = id;
         this.work = work;
         this.client = client;
         this.generation = generation;
         this.deadline = deadline;
+        this.bodyDeadline = bodyDeadline;
     }
 
     /** Its number among all that this ledger has taken. */
@@ -59,7 +64,7 @@
         return client;
     }
 
-    /** The latest moment for a final answer; moves once, where a body follows that is not held. */
+    /** The latest moment for a final answer; moves while a body comes that is not held. */
     public long deadline() {
         return deadline;
     }
@@ -115,6 +120,11 @@
         return !attempts.isEmpty();
     }
 
+    @Override
+    public void bodyCame(long now, boolean isAwaited) {
+        generation.ledger.bodyCame(now, this, isAwaited);
+    }
+
     @Override
     public void bodyEnded(long now) {
         generation.ledger.bodyEnded(now, this);
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -165,8 +165,9 @@
             throw new IllegalStateException("id is in use: " + work.id());
         }
         long at = enter(now);
-        long deadline = Math.min(endAt, deadline(at, work.waitNs()) + (work.isBulk() ? UPLOAD : 0));
-        Exchange<W, C, L, A> exchange = new Exchange<>(++lastId, work, client, current, deadline);
+        long deadline = deadline(at, work.waitNs());
+        long bodyDeadline = Math.min(endAt, deadline + (work.isBulk() ? UPLOAD : 0));
+        Exchange<W, C, L, A> exchange = new Exchange<>(++lastId, work, client, current, deadline, bodyDeadline);
         counts.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
         if (open() >= current.terms.maxOpen() || !budget.take(work.heldBytes())) {
@@ -227,7 +228,7 @@
         recovery.began();
         W work = exchange.work();
         Api.Request asked = new Api.Request(exchange.id, work.requestClass(), work.tenant(), work.key(),
-                exchange.deadline, work.work(), work.repeat(), work.write(), work.isBulk());
+                exchange.bodyDeadline, work.work(), work.repeat(), work.write(), work.isBulk());
         post(exchange, () -> exchange.generation.module.onRequest(time, asked));
     }
 
@@ -284,18 +285,36 @@
         post(null, () -> current.module.onJoined(time, tenant));
     }
 
-    /** The wait for a request whose body was not held begins: with the end of that. */
-    void bodyEnded(long now, Exchange<W, C, L, A> exchange) {
+    /**
+     * More has come of a body that is not held, or no more of it is read for now. A client's wait begins with the last byte
+     * that it sends, which may stand unread while its host takes nothing: from the first moment on in which it can.
+     */
+    void bodyCame(long now, Exchange<W, C, L, A> exchange, boolean isAwaited) {
         long at = enter(now);
-        if (exchange.over) {
+        if (exchange.over || exchange.isBodyAwaited == isAwaited) {
             return;
         }
-        exchange.deadline = deadline(at, exchange.work().waitNs());
-        actions.arm(exchange, exchange.deadline + LAST_CALL);
+        exchange.isBodyAwaited = isAwaited;
+        moveDeadline(exchange, isAwaited ? exchange.bodyDeadline
+                : Math.min(exchange.bodyDeadline, deadline(at, exchange.work().waitNs())));
+    }
+
+    /** All of a body has come that is not held: its client waits by now. */
+    void bodyEnded(long now, Exchange<W, C, L, A> exchange) {
+        bodyCame(now, exchange, false);
         for (Attempt<W, C, L, A> attempt : exchange.attempts) {
             if (!attempt.over) {
-                attempt.sentAt = at;
-                attempt.cutAt = Math.min(attempt.cutAt, exchange.deadline);
+                attempt.sentAt = time;
+            }
+        }
+    }
+
+    private void moveDeadline(Exchange<W, C, L, A> exchange, long deadline) {
+        exchange.deadline = deadline;
+        actions.arm(exchange, deadline + LAST_CALL);
+        for (Attempt<W, C, L, A> attempt : exchange.attempts) {
+            if (!attempt.over && attempt.begunAt == 0) {
+                attempt.cutAt = Math.min(attempt.mostCutAt, deadline);
                 actions.arm(attempt, attempt.cutAt);
             }
         }
@@ -739,9 +758,10 @@
             actions.unexpected(new IllegalStateException("send for a request that is over: " + request));
             return;
         }
-        long cut = cutAt <= 0 ? exchange.deadline : Math.min(cutAt, exchange.deadline);
+        long mostCut = cutAt <= 0 ? NEVER : cutAt;
+        long cut = Math.min(mostCut, exchange.deadline);
         Host host = hosts.get(server);
-        Attempt<W, C, L, A> attempt = new Attempt<>(exchange, exchange.attempts.size(), server, host, time, cut);
+        Attempt<W, C, L, A> attempt = new Attempt<>(exchange, exchange.attempts.size(), server, host, time, cut, mostCut);
         exchange.attempts.add(attempt);
         counts.copies += exchange.pending > 0 ? 1 : 0;
         exchange.pending++;
--- a/src/main/java/eiderscale/ledger/Taken.java
+++ b/src/main/java/eiderscale/ledger/Taken.java
@@ -5,7 +5,13 @@
     /** Whether an attempt was made for it. */
     boolean isTried();
 
-    /** All of a body that is not held has come: from here on its client waits. */
+    /**
+     * How far a body has come that is not held. {@code isAwaited}: all that the client has sent of it has been read, and its
+     * end is not among that; otherwise its end may have been sent, and its client may wait from the first such moment on.
+     */
+    void bodyCame(long now, boolean isAwaited);
+
+    /** All of a body that is not held has come. */
     void bodyEnded(long now);
 
     /** Its client has left: nothing is owed any more, and what is out for it is given up. */
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -34,6 +34,8 @@
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
+    /** Between two looks at whether more of a long value has been sent. */
+    private static final long LOOK_MS = 10;
     private static final long PLACE_WAIT = Clock.SECOND;
     /** A long value of which nothing comes for so long is given up, as any command is that does not become whole. */
     private static final long BODY_REST = 2500 * Clock.MILLISECOND;
@@ -64,8 +66,10 @@
     private MetaFrame pendingFrame;
     /** Where the long value goes that is coming in; null if there is none or nobody wants it. */
     private Slot uploader;
-    /** When the last of it came. */
+    /** When the last of a long value came. */
     private long bodyAt;
+    private boolean bodyWatched;
+    private boolean bodyLooked;
 
     MetaConnection(MetaFront front, ClientServer server, SocketChannel channel) {
         super(server, channel);
@@ -163,6 +167,7 @@
             if (frame.bulk() > 0) {
                 // What follows it has to have a place to go to.
                 beginPending();
+                watchBody();
             }
             left--;
         }
@@ -204,10 +209,10 @@
     /** Passes on what is here of a long value; true if that was the last of it and more may be read behind it. */
     private boolean passOn() {
         for (ByteBuf part = nextPart(); part != null; part = nextPart()) {
+            bodyAt = Clock.now();
             if (uploader == null) {
                 part.release();
             } else {
-                bodyAt = Clock.now();
                 uploader.command().upload.part(part);
             }
         }
@@ -238,9 +243,51 @@
         return wantsBody() && !ahead().isEmpty() ? parser.part(ahead().bytes()) : null;
     }
 
-    /** Whether more of a long value has come lately, or its host is what it waits for. */
-    private void seeBody(Slot slot) {
-        if (uploader != slot || isGone()) {
+    @Override
+    protected void readTurnEnded(boolean isSocketEmpty) {
+        if (uploader == null) {
+            return;
+        }
+        boolean isEndHere = parser != null && ahead().size() >= parser.bulkLeft();
+        uploader.bodyCame(isSocketEmpty && !isEndHere);
+        if (!isSocketEmpty && !bodyLooked) {
+            bodyLooked = true;
+            later(this::lookForBody, LOOK_MS);
+        }
+    }
+
+    /** Its socket may have been empty since the last turn, and would say nothing of that. */
+    private void lookForBody() {
+        bodyLooked = false;
+        if (isGone() || uploader == null) {
+            return;
+        }
+        if (mayRead() && mayTakeIn()) {
+            readNow();
+        } else {
+            bodyLooked = true;
+            later(this::lookForBody, LOOK_MS);
+        }
+    }
+
+    /** A long value that is coming in, wanted or not, has a time of its own: see {@link #seeBody}. */
+    @Override
+    protected boolean isHalf() {
+        return !isClean() && (parser == null || !parser.isInBulk());
+    }
+
+    private void watchBody() {
+        bodyAt = Clock.now();
+        if (!bodyWatched) {
+            bodyWatched = true;
+            later(this::seeBody, BODY_REST / Clock.MILLISECOND);
+        }
+    }
+
+    /** Whether more of a long value has come lately, or it is not read as its host takes nothing. */
+    private void seeBody() {
+        bodyWatched = false;
+        if (isGone() || isQuitting() || parser == null || !parser.isInBulk()) {
             return;
         }
         long now = Clock.now();
@@ -250,10 +297,13 @@
         if (now - bodyAt >= BODY_REST) {
             faulty();
             quit();
-            slot.command().upload.cut();
+            if (uploader != null) {
+                uploader.command().upload.cut();
+            }
             adjust();
         } else {
-            later(() -> seeBody(slot), Math.max(1, (bodyAt + BODY_REST - now) / Clock.MILLISECOND));
+            bodyWatched = true;
+            later(this::seeBody, Math.max(1, (bodyAt + BODY_REST - now) / Clock.MILLISECOND));
         }
     }
 
@@ -355,7 +405,7 @@
             return;
         }
         try {
-            Upload body = frame.bulk() > 0 ? new Upload(frame.bulk(), this::roomForBody) : null;
+            Upload body = frame.bulk() > 0 ? new Upload(frame.bulk(), front.uploads(), this::roomForBody) : null;
             MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId, body, slot.waitedMs);
             if (core().isOpen(command.id())) {
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
@@ -368,8 +418,6 @@
             slot.command(command);
             if (body != null) {
                 uploader = slot;
-                bodyAt = Clock.now();
-                later(() -> seeBody(slot), BODY_REST / Clock.MILLISECOND);
             }
             JoinedReads joined = front.joined(core(), channel().eventLoop());
             if (joined != null && joined.joins(command)) {
--- a/src/main/java/eiderscale/meta/MetaFront.java
+++ b/src/main/java/eiderscale/meta/MetaFront.java
@@ -17,6 +17,7 @@
     private final MetaHosts hosts;
     private final Budget budget;
     private final ValueRoom values;
+    private final ValueRoom uploads;
     /** Bytes of the answer to a read, smoothed over the last ones. */
     private double usualAnswerBytes;
     /** Made when the first read joins: nothing of it is loaded where none does. */
@@ -26,6 +27,7 @@
         this.hosts = hosts;
         this.budget = budget;
         this.values = new ValueRoom(budget.most() / 2);
+        this.uploads = new ValueRoom(budget.most() / 2);
     }
 
     @Override
@@ -35,10 +37,14 @@
 
     @Override
     public String gauges() {
-        return (values.streams() == 0 ? "" : " values " + values.streams() + " waiting " + values.waiting() + " bytes " + values.held())
+        return gauge(" values ", values) + gauge(" uploads ", uploads)
                 + (joined == null ? "" : joined.gauges());
     }
 
+    private static String gauge(String name, ValueRoom room) {
+        return room.streams() == 0 ? "" : name + room.streams() + " waiting " + room.waiting() + " bytes " + room.held();
+    }
+
     /** Who waits for whom; null where the settings let no read wait and none has. */
     JoinedReads joined(Core core, EventLoop loop) {
         if (joined == null && core.site().joining.any()) {
@@ -66,6 +72,11 @@
         return values;
     }
 
+    /** The bytes that long values on their way to hosts may hold. */
+    ValueRoom uploads() {
+        return uploads;
+    }
+
     MetaParser parser() {
         return MetaParser.ofCommands(budget);
     }
--- a/src/main/java/eiderscale/meta/MetaParser.java
+++ b/src/main/java/eiderscale/meta/MetaParser.java
@@ -65,6 +65,11 @@
         return bulk >= 0;
     }
 
+    /** Bytes that are still to come of a value that is not held, its end included. */
+    int bulkLeft() {
+        return bulk + CRLF;
+    }
+
     /** Some of a value that is not held, to be released; null if nothing of it is there, or if it has ended. */
     ByteBuf part(ByteBuf in) {
         int some = Math.min(bulk, in.readableBytes());
--- a/src/main/java/eiderscale/meta/Slot.java
+++ b/src/main/java/eiderscale/meta/Slot.java
@@ -63,7 +63,14 @@
         taken = connection.pool().take(command, this);
     }
 
-    /** All of its long value has come, and none of it waits any longer. */
+    /** How far its long value has come; see {@link Taken#bodyCame}. */
+    void bodyCame(boolean isAwaited) {
+        if (taken != null) {
+            taken.bodyCame(Clock.now(), isAwaited);
+        }
+    }
+
+    /** All of its long value has come. */
     void bodyEnded() {
         if (taken != null) {
             taken.bodyEnded(Clock.now());
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -101,6 +101,20 @@
     /** Lets go of what was read in part of a request: nothing more is taken in. */
     protected abstract void drop();
 
+    /** Reads what is in its socket, as in a turn of reading. */
+    protected final void readNow() {
+        ((AbstractNioChannel) channel).unsafe().read();
+    }
+
+    /** Whether half a request is here that has to become whole in the usual time. */
+    protected boolean isHalf() {
+        return !isClean();
+    }
+
+    /** A turn of reading is over. {@code isSocketEmpty}: all that the client has sent has been read. */
+    protected void readTurnEnded(boolean isSocketEmpty) {
+    }
+
     /** The client has taken some of what waited for it. */
     protected void onTaken() {
         adjust();
@@ -307,7 +321,7 @@
         }
         looking = true;
         for (int i = 0; i < MOST_LOOKS && !seenEmpty && !gone && !leaving && !ended && mayRead(); i++) {
-            ((AbstractNioChannel) channel).unsafe().read();
+            readNow();
         }
         looking = false;
     }
@@ -334,7 +348,7 @@
     /** Whether half a request is here, seen once all that came has been read. */
     private void tellHalf() {
         if (member != null && !quitting) {
-            server.half(member, open() == 0 && !isClean());
+            server.half(member, open() == 0 && isHalf());
         }
     }
 
@@ -353,7 +367,7 @@
         boolean gently = why == Why.STOP || why == Why.IDLE
                 || why != Why.SILENCE && member.state() == Member.State.IDLE;
         if (channel.config().isAutoRead() || gently && mayRead()) {
-            ((AbstractNioChannel) channel).unsafe().read();
+            readNow();
         }
         if (gone || leaving) {
             return true;
@@ -395,6 +409,7 @@
     @Override
     public final void channelReadComplete(ChannelHandlerContext ctx) {
         tellHalf();
+        readTurnEnded(server.hasReadAll());
         if (isEnding() && !seenEmpty && server.hasReadAll()) {
             seenEmpty = true;
             adjust();
--- a/src/main/java/eiderscale/net/ClientOutput.java
+++ b/src/main/java/eiderscale/net/ClientOutput.java
@@ -27,9 +27,8 @@
         long stallTime();
     }
 
-    /** Bytes that the socket's own queue holds at most, but for the rest of one piece. */
-    private static final int WINDOW_BYTES = 32 * 1024;
-    private static final int PIECE_BYTES = 16 * 1024;
+    /** Bytes that the socket's own queue holds at most. */
+    private static final int WINDOW_BYTES = 16 * 1024;
     /** From so many waiting bytes on the client is behind, until no more than the lower mark wait. */
     private static final int HIGH_MARK_BYTES = 128 * 1024;
     private static final int LOW_MARK_BYTES = 32 * 1024;
@@ -111,7 +110,7 @@
     }
 
     private void pass(Part part) {
-        int size = Math.min(PIECE_BYTES, part.bytes.readableBytes());
+        int size = Math.min(WINDOW_BYTES - inSocket, part.bytes.readableBytes());
         boolean isLast = size == part.bytes.readableBytes();
         if (isLast) {
             parts.remove();
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -281,7 +281,7 @@
                 finish(hindrance, null, true);
                 return;
             }
-            long leftMs = Math.max(1, (attempt.cutAt() - Clock.now()) / Clock.MILLISECOND);
+            long leftMs = Math.max(1, attempt.waitLeft(Clock.now()) / Clock.MILLISECOND);
             ByteBuf bytes = dialog.encode(attempt.exchange().work(), channel.alloc(), leftMs);
             ChannelPromise promise = channel.newPromise();
             partly = false;
--- a/src/main/java/eiderscale/net/Upload.java
+++ b/src/main/java/eiderscale/net/Upload.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.values.ValueRoom;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -16,6 +17,10 @@
     /** Of its whole length, or negative if it comes in chunks. */
     private final long length;
     private final Runnable onRoom;
+    /** The memory for all bodies on their way to hosts. */
+    private final ValueRoom rooms;
+    /** Its part of that; null before any is needed. */
+    private ValueRoom.Stream room;
     private final Queue<ByteBuf> waiting = new ArrayDeque<>();
     private Channel host;
     private boolean ended;
@@ -23,10 +28,18 @@
     private boolean whole;
     private boolean cut;
 
-    /** {@code onRoom}: told when more may come. */
-    public Upload(long length, Runnable onRoom) {
+    /** {@code rooms}: the memory for all bodies on their way to hosts. {@code onRoom}: told when more may come. */
+    public Upload(long length, ValueRoom rooms, Runnable onRoom) {
         this.length = length;
         this.onRoom = onRoom;
+        this.rooms = rooms;
+    }
+
+    private ValueRoom.Stream room() {
+        if (room == null) {
+            room = rooms.begin(this::drained);
+        }
+        return room;
     }
 
     /** Bytes of it in all, negative if that is not told. */
@@ -46,7 +59,7 @@
 
     /** Whether more is wanted from the client now. */
     public boolean wantsMore() {
-        return over || host != null && host.isWritable();
+        return over || host != null && host.isWritable() && room().mayRead();
     }
 
     /** The head has been written there: the body follows. */
@@ -58,7 +71,7 @@
 
     /** The host takes bytes again. */
     public void drained() {
-        if (host != null && host.isWritable()) {
+        if (wantsMore()) {
             onRoom.run();
         }
     }
@@ -68,11 +81,19 @@
         over = true;
         host = null;
         drop();
+        endRoom();
         onRoom.run();
     }
 
+    private void endRoom() {
+        if (room != null) {
+            room.end();
+        }
+    }
+
     private void drop() {
         for (ByteBuf bytes = waiting.poll(); bytes != null; bytes = waiting.poll()) {
+            room().left(bytes.readableBytes());
             bytes.release();
         }
     }
@@ -82,6 +103,7 @@
         if (over || !bytes.isReadable()) {
             bytes.release();
         } else {
+            room().came(bytes.readableBytes());
             waiting.add(Buffers.compact(bytes));
             writeOn();
         }
@@ -112,17 +134,19 @@
             return;
         }
         for (ByteBuf bytes = waiting.poll(); bytes != null; bytes = waiting.poll()) {
+            int size = bytes.readableBytes();
+            if (length < 0) {
+                host.write(ByteBufUtil.writeAscii(host.alloc(), Integer.toHexString(size) + "\r\n"));
+            }
+            host.write(bytes).addListener(done -> room().left(size));
             if (length < 0) {
-                host.write(ByteBufUtil.writeAscii(host.alloc(), Integer.toHexString(bytes.readableBytes()) + "\r\n"));
-                host.write(bytes);
                 host.write(ByteBufUtil.writeAscii(host.alloc(), "\r\n"));
-            } else {
-                host.write(bytes);
             }
         }
         if (ended && !over) {
             over = true;
             whole = true;
+            endRoom();
             if (length < 0) {
                 host.write(Unpooled.copiedBuffer("0\r\n\r\n", StandardCharsets.US_ASCII));
             }
