One client's commands get a bounded part of each turn of the loop

Change: 32 commands of a connection are taken in at a time, then it rests for 1 ms, over HTTP too; their answers leave together.

--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -21,7 +21,14 @@
  * in its pipeline.
  */
 final class HttpConnection extends ClientConnection {
+    /** Requests that are begun without a rest, lest a client that sends many small ones keeps the others waiting. */
+    private static final int MOST_AT_ONCE = 32;
+    private static final long REST_MS = 1;
+
     private final HttpFront front;
+    /** Requests that were begun since the last rest. */
+    private int begun;
+    private boolean resting;
     /** Null between two requests. */
     private StrictRequestDecoder decoder;
     /** The request that is being read or answered. */
@@ -62,7 +69,7 @@
 
     @Override
     protected boolean hasRoom() {
-        return turn == null || super.hasRoom();
+        return turn == null && !resting || super.hasRoom();
     }
 
     @Override
@@ -101,7 +108,21 @@
 
     /** A further request waits for the answer to the one before; its body waits until its host takes more. */
     private boolean mayParse() {
-        return !isGone() && !isQuitting() && (turn == null || inBody && turn.wantsBody());
+        return !isGone() && !isQuitting() && (turn == null ? !rests() : inBody && turn.wantsBody());
+    }
+
+    private boolean rests() {
+        if (begun >= MOST_AT_ONCE && !resting) {
+            resting = true;
+            later(this::goOn, REST_MS);
+        }
+        return resting;
+    }
+
+    private void goOn() {
+        resting = false;
+        begun = 0;
+        look();
     }
 
     private boolean readOne() throws Exception {
@@ -147,6 +168,7 @@
 
     private void begin(HttpRequest request) throws Exception {
         busy();
+        begun++;
         Turn fresh = new Turn(this, front);
         turn = fresh;
         try {
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -21,7 +21,7 @@
     /** Requests of one connection that may be open at once; no more are taken in then. */
     private static final int MOST_PIPELINED = 64;
     /** Commands that are taken in without a rest, lest a client that sends many small ones keeps the others waiting. */
-    private static final int MOST_AT_ONCE = 64;
+    private static final int MOST_AT_ONCE = 32;
     private static final long REST_MS = 1;
     /** With no more than this read ahead, in bytes, commands are taken again. */
     private static final int LEAST_OVERRUN = 2 * 1024;
@@ -150,15 +150,35 @@
 
     @Override
     protected void takeIn() {
-        if (parsing || ahead().isEmpty()) {
+        if (parsing) {
             return;
         }
         parsing = true;
+        sendReady();
+        int left = MOST_AT_ONCE;
+        for (int taken = takeSome(left); taken > 0 && !isGone(); taken = takeSome(left)) {
+            left -= taken;
+            // Together, and those that are answered make room for others.
+            sendReady();
+        }
+        parsing = false;
+        settleAhead();
+        if (left == 0) {
+            rest(REST_MS);
+        }
+        noteWait();
+    }
+
+    /** Takes commands in, so many at most; how many there were. */
+    private int takeSome(int most) {
+        if (ahead().isEmpty()) {
+            return 0;
+        }
         if (parser == null) {
             parser = front.parser();
         }
-        int left = MOST_AT_ONCE;
-        for (MetaFrame frame = next(); frame != null; frame = left > 0 ? next() : null) {
+        int taken = 0;
+        for (MetaFrame frame = most > 0 ? next() : null; frame != null; frame = taken < most ? next() : null) {
             Slot slot = pending;
             MetaFrame before = pendingFrame;
             // In its place before the last one may be answered: a stop would close upon it.
@@ -169,14 +189,9 @@
                 beginPending();
                 watchBody();
             }
-            left--;
-        }
-        parsing = false;
-        settleAhead();
-        if (left == 0) {
-            rest(REST_MS);
+            taken++;
         }
-        noteWait();
+        return taken;
     }
 
     private void settleAhead() {
@@ -451,17 +466,20 @@
         slot.refused(retryAfterMs, null);
     }
 
-    /** Writes the answers that no earlier command has to come before. */
+    /** Writes the answers that no earlier command has to come before, and goes on as that allows. */
     private void flushReady() {
-        if (reading || gathering || isGone()) {
-            return;
+        if (!reading && !gathering && !parsing && !isGone()) {
+            sendReady();
+            adjust();
         }
-        while (first != null && first.isAnswered() && first.sendOn()) {
+    }
+
+    private void sendReady() {
+        while (!isGone() && first != null && first.isAnswered() && first.sendOn()) {
             first = first.next;
             open--;
         }
         flush();
-        adjust();
     }
 
     @Override
