Open commands count in the memory for requests, and heads have few fields

Over HTTP a head of 16 KB with fields of four bytes was taken, and takes a hundred bytes a field.

Cause: the memory for requests counted values alone. A command's words, its figures and what the ledger and the module keep with it count several KB.

Change: a command is counted with a fixed part and its words, an HTTP request with its fields; without room it is refused like any other. A command has 32 figures and 64 words at most, a head of HTTP 128 fields (431). An answer that waits lets go of its command.

--- a/src/main/java/eiderscale/http/HttpCall.java
+++ b/src/main/java/eiderscale/http/HttpCall.java
@@ -13,6 +13,8 @@
  */
 final class HttpCall implements Request {
     private static final byte[] NONE = {};
+    /** What an open request takes beside its fields and its body. */
+    private static final int CALL_BYTES = 1536;
 
     final String method;
     final CacheKey target;
@@ -93,7 +95,7 @@
 
     @Override
     public int heldBytes() {
-        return body.length;
+        return CALL_BYTES + fields.weight() + body.length;
     }
 
     @Override
--- a/src/main/java/eiderscale/http/StrictRequestDecoder.java
+++ b/src/main/java/eiderscale/http/StrictRequestDecoder.java
@@ -23,6 +23,8 @@
     static final int MOST_HEAD = 16 * 1024;
     /** A request line. */
     static final int MOST_LINE = 8 * 1024;
+    /** Fields of a head: each takes many times its bytes once it is read. */
+    static final int MOST_FIELDS = 128;
     private static final int MOST_CHUNK = 16 * 1024;
 
     private final List<Object> found = new ArrayList<>(2);
@@ -131,6 +133,7 @@
         }
         boolean first = true;
         int blanks = 0;
+        int lines = 0;
         for (int i = from; i < to; i++) {
             byte b = buffer.getByte(i);
             if (b == '\n' && buffer.getByte(i - 1) != '\r') {
@@ -144,6 +147,9 @@
                     throw new BadRequest(400, "malformed request line");
                 }
                 first = false;
+                if (++lines > MOST_FIELDS + 1) {
+                    throw new BadRequest(431, "too many fields");
+                }
                 boolean folded = i + 1 < to && (buffer.getByte(i + 1) == ' ' || buffer.getByte(i + 1) == '\t');
                 if (folded) {
                     throw new BadRequest(400, "a folded line");
--- a/src/main/java/eiderscale/meta/MetaCommand.java
+++ b/src/main/java/eiderscale/meta/MetaCommand.java
@@ -18,6 +18,10 @@
     private static final int MOST_KEY = 250;
     private static final int MOST_OPAQUE = 32;
     private static final int HEX_KEY = 16;
+    /** Clients give five figures, and as many more as a request has in the settings. */
+    private static final int MOST_FIGURES = 32;
+    /** What an open command takes beside its value: its words twice, as they are cut in parts, and all that is kept with it. */
+    private static final int COMMAND_BYTES = 1536;
     /** Begins the ids that balancers make up. */
     static final char OWN_ID = '~';
     private static final int MOST_FLAG = 11;
@@ -50,6 +54,7 @@
     /** Flags that go to memcached and back unread, each with a blank before it. */
     final String extra;
     private final String[] figures;
+    private final int wordBytes;
     /** Whether the client gave an id and is told it again; hosts get one of our own otherwise. */
     private final boolean named;
     /** The name of the class that a route picked; null where the client's own word counts. */
@@ -99,7 +104,11 @@
         named = id != null;
         opaque = named ? id : own.get();
         extra = others.toString();
-        figures = list == null ? new String[0] : list.split(",", -1);
+        figures = list == null ? new String[0] : list.split(",", MOST_FIGURES + 1);
+        if (figures.length > MOST_FIGURES) {
+            throw new Malformed("too many figures");
+        }
+        wordBytes = 2 * (key.length() + others.length() + (list == null ? 0 : list.length()));
         requestClass = lenient ? route(site.routes) : number(site.requestClass(figure("c")), "class");
         className = lenient ? site.routes.name(requestClass) : null;
         tenant = number(site.tenant(figure("t")), "tenant");
@@ -145,6 +154,7 @@
         work = cause.work;
         extra = cause.extra;
         figures = cause.figures;
+        wordBytes = cause.wordBytes;
         named = false;
         className = cause.className;
         waitAt = cause.waitAt;
@@ -243,7 +253,7 @@
 
     @Override
     public int heldBytes() {
-        return value == null ? 0 : value.length;
+        return COMMAND_BYTES + wordBytes + (value == null ? 0 : value.length);
     }
 
     @Override
--- a/src/main/java/eiderscale/meta/MetaParser.java
+++ b/src/main/java/eiderscale/meta/MetaParser.java
@@ -17,6 +17,8 @@
 final class MetaParser {
     /** Far above the longest honest line: a key of 250 bytes, an id and a list of figures. */
     static final int MOST_LINE = 2048;
+    /** Words of a line; a client's commands have ten at most. */
+    private static final int MOST_WORDS = 64;
     private static final int MOST_DIGITS = 9;
     private static final int CRLF = 2;
     /** A value's buffer begins this small and grows with what arrives. */
@@ -136,6 +138,9 @@
             }
             if (c == ' ') {
                 if (i > begun) {
+                    if (tokens.size() == MOST_WORDS) {
+                        return breakOff("CLIENT_ERROR too many words", in);
+                    }
                     tokens.add(line.substring(begun, i));
                 }
                 begun = i + 1;
--- a/src/main/java/eiderscale/meta/Slot.java
+++ b/src/main/java/eiderscale/meta/Slot.java
@@ -178,6 +178,10 @@
         answer = data == null ? head
                 : Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(data), Unpooled.wrappedBuffer(LINE_END));
         charged = size;
+        if (command != null && command.upload == null) {
+            // An answer that waits needs nothing of its command.
+            command = null;
+        }
         connection.flow();
     }
 
