Nothing runs for a client that has gone, nor twice under one unsafe id

An unsafe request that came again under its id, on another connection after its client had left, ran a second time.

Cause: 16 KB were read ahead of what is taken in, and the end of a client behind more was not seen. Of an id nothing was known once its client had gone.

A client that sends more is refused what stands ahead, in order, so that reading goes on until its end is seen, for up to 4,096 commands. Ids of unsafe requests that may have run when their client left are remembered for 30 s, 8,192 at most (ledger.SpentIds), and are answered with CLIENT_ERROR. Not before memcached, whose clients may give every command the same.

--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -77,6 +77,7 @@
     private final Map<Long, Exchange<W, C, L, A>> exchanges = new HashMap<>();
     /** The ids of requests that are owed an answer, as far as they have any. */
     private final Set<String> openIds = new HashSet<>();
+    private final SpentIds spentIds = new SpentIds();
     private int open;
     private final Queue<Event<W, C, L, A>> events = new ArrayDeque<>();
     private boolean inModule;
@@ -130,6 +131,11 @@
         return openIds.contains(id);
     }
 
+    /** Whether an unsafe request with this id may have run, whose client left without an answer: it must not run again. */
+    public boolean isSpent(long now, String id) {
+        return spentIds.contains(enter(now), id);
+    }
+
     /** The number of requests that are owed an answer. */
     public int open() {
         return open;
@@ -323,8 +329,12 @@
     /** The client of an open request has closed its connection: nothing is owed any more. */
     void clientGone(long now, Exchange<W, C, L, A> exchange) {
         enter(now);
+        boolean mayHaveRun = mayHaveRun(exchange);
         if (close(exchange, false)) {
             counts.clientsGone++;
+            if (mayHaveRun && exchange.work().id() != null && requestClass(exchange).effect() == Api.Effect.FRAGILE) {
+                spentIds.add(time, exchange.work().id());
+            }
             leftModule(exchange);
         } else if (exchange.streaming != null) {
             // Answered: what still comes of it is for nobody.
--- a/src/main/java/eiderscale/meta/MemcachedProtocol.java
+++ b/src/main/java/eiderscale/meta/MemcachedProtocol.java
@@ -16,6 +16,12 @@
         return MetaCommand.line(alloc, line, command.value);
     }
 
+    /** Clients of memcached may give every command the same. */
+    @Override
+    boolean knowsIds() {
+        return false;
+    }
+
     /** One that turns out to be too large takes an older value away before it has come. */
     @Override
     boolean beginsAtOnce(MetaCommand command) {
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -20,6 +20,8 @@
 final class MetaConnection extends ClientConnection {
     /** Requests of one connection that may be open at once; no more are taken in then. */
     private static final int MOST_PIPELINED = 64;
+    /** The same with those that are refused as too much has been sent ahead, so that the end of the client behind it is seen. */
+    private static final int MOST_REFUSED = 4096;
     /** Commands that are taken in without a rest, lest a client that sends many small ones keeps the others waiting. */
     private static final int MOST_AT_ONCE = 32;
     private static final long REST_MS = 1;
@@ -89,7 +91,10 @@
         if (!isGone() && !isQuitting() && !hasRoom()) {
             channel().config().setAutoRead(false);
             aheadFull = true;
-            overrun |= uploader == null;
+            if (uploader == null && !overrun) {
+                overrun = true;
+                later(this::adjust);
+            }
         }
     }
 
@@ -127,7 +132,8 @@
 
     @Override
     protected boolean mayTakeIn() {
-        return Clock.now() >= pausedUntil && wantsBody() && (open == 0 || open < MOST_PIPELINED && isRoomExpected());
+        return Clock.now() >= pausedUntil && wantsBody()
+                && (open == 0 || open < MOST_PIPELINED && isRoomExpected() || overrun && open < MOST_REFUSED);
     }
 
     /** Whether a further answer will find memory to wait in, if all that are to come are of the usual size. */
@@ -416,7 +422,7 @@
         }
         if (overrun || frame.unheld()) {
             refusedHere();
-            slot.refused(0, null);
+            slot.refuseAhead();
             return;
         }
         try {
@@ -426,6 +432,9 @@
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
             }
+            if (command.write && front.hosts().knowsIds() && core().isSpent(command.id())) {
+                throw new MetaCommand.Malformed("id was in use and may have run");
+            }
             if (!mayAskFor(command.tenant())) {
                 refuse(slot, core().retryAfterMs(PLACE_WAIT));
                 return;
--- a/src/main/java/eiderscale/meta/MetaHosts.java
+++ b/src/main/java/eiderscale/meta/MetaHosts.java
@@ -29,6 +29,11 @@
     /** The first line of the client's answer, made from one that means {@link Reason#OK}. */
     abstract String answerLine(MetaCommand command, MetaFrame answer);
 
+    /** Whether an id stands for one request alone, or is just echoed. */
+    boolean knowsIds() {
+        return true;
+    }
+
     /** Whether a host begins a command before its last byte has come. */
     boolean beginsAtOnce(MetaCommand command) {
         return false;
--- a/src/main/java/eiderscale/meta/Slot.java
+++ b/src/main/java/eiderscale/meta/Slot.java
@@ -19,6 +19,9 @@
     private static final String FAILED = "SERVER_ERROR failed\r\n";
     private static final String BUSY = "SERVER_ERROR busy\r\n";
 
+    /** What a place with a short answer takes. */
+    private static final int PLACE_BYTES = 256;
+
     private final MetaConnection connection;
     /** How long its command may have waited for room before it was taken in, in milliseconds. */
     final long waitedMs;
@@ -147,6 +150,12 @@
         say(retryAfterMs > 0 ? "SERVER_ERROR busy " + retryAfterMs + "\r\n" : BUSY);
     }
 
+    /** Its command is one of too many: what its place takes counts like an answer. */
+    void refuseAhead() {
+        int size = connection.share().take(PLACE_BYTES) ? PLACE_BYTES : 0;
+        answer(BUSY, null, size);
+    }
+
     @Override
     public void failed(Answer last) {
         finish();
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -97,6 +97,11 @@
         return ledger.isOpen(id);
     }
 
+    @Override
+    public boolean isSpent(String id) {
+        return ledger.isSpent(Clock.now(), id);
+    }
+
     @Override
     public Taken take(Request request, Client client) {
         look();
--- a/src/main/java/eiderscale/net/Core.java
+++ b/src/main/java/eiderscale/net/Core.java
@@ -14,6 +14,9 @@
     /** Whether a request with this id is owed an answer: another one under it cannot be taken. */
     boolean isOpen(String id);
 
+    /** Whether an unsafe request with this id may have run, whose client left without an answer: it must not run again. */
+    boolean isSpent(String id);
+
     /**
      * Takes a request, which is answered exactly once unless its client leaves first; perhaps before this returns.
      * Throws {@link IllegalStateException} if its id is open.
--- a/src/test/java/eiderscale/net/ClientGoneTest.java
+++ b/src/test/java/eiderscale/net/ClientGoneTest.java
@@ -79,4 +79,49 @@
         String half = "ms 5 1000000 Ow1 Pc=copy,t=acme,d=9000\r\n" + "x".repeat(300_000);
         assertEquals(0, begunBehindTheClose(read(1) + half, 1));
     }
+
+    /** As many commands as come at once from one client, the end behind all of which is to be seen. */
+    @Test
+    void closeBehindHundredsOfCommandsEndsTheOpenOnes() throws Exception {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 600; i++) {
+            all.append(read(i).replace("mg ", "mg " + "k".repeat(40)));
+        }
+        assertEquals(0, begunBehindTheClose(all.toString(), FULL));
+    }
+
+    /** More than is read ahead: what stands behind that is refused, so that none of it begins for a client that has gone. */
+    @Test
+    void closeBehindMoreThanIsReadAheadEndsTheOpenOnes() throws Exception {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 2_000; i++) {
+            all.append(read(i).replace("mg ", "mg " + "k".repeat(200)));
+        }
+        assertEquals(0, begunBehindTheClose(all.toString(), FULL));
+    }
+
+    /** Guards against effects that happen twice: an unsafe id came again on another connection after its client had left. */
+    @Test
+    void anUnsafeIdThatMayHaveRunDoesNotRunAgainForAnotherConnection() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        FakeHost host = FakeHost.answering(command -> {
+            try {
+                gone.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return FakeHost.served(command);
+        });
+        try (Rig rig = new Rig(host).start(); Peer second = rig.client()) {
+            try (Peer first = rig.client()) {
+                first.write(Rig.COPY + "\r\n");
+                host.command();
+            }
+            ServingTest.awaitGauge(rig, "open 0 ");
+            gone.countDown();
+            assertEquals("CLIENT_ERROR id was in use and may have run", second.ask(Rig.COPY));
+            assertEquals("HD O9 c77", second.ask(Rig.COPY.replace("O2", "O9")), "another id is another request");
+            assertEquals(1, host.commands.size(), "one more has come");
+        }
+    }
 }
