Nothing is written to an address that another host has taken over

Within the grace of drains the request was written there for the one that had gone: a host of another group or zone got it, and a repeat of it could run twice.

Cause: connections are kept by host. Nobody asked whether the address was still that host's when the connection came up.

Change: HostPool notes whom lists have last named at each address; a connection that leads to another's is not written and not kept, and the attempt ends as one that could not connect, which it did not.

Result: ConnectingTest.aConnectionToAnAddressThatAnotherHostHasTakenOverIsNotUsed failed before and passes. A process that comes up at an address before lists tell of it can't be told from the old one; the protocol has no word for that.

--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -79,6 +79,8 @@
     private final Listener listener;
     private final Bootstrap bootstrap;
     private final Map<Long, Host> hosts = new HashMap<>();
+    /** By address, the host that lists have last named there. */
+    private final Map<InetSocketAddress, Long> owners = new HashMap<>();
     private final HostLinks<Link> links;
     private final AttemptLog log;
     private long lastLink;
@@ -126,6 +128,9 @@
                 host.endpoint = member.endpoint();
             }
             host.gone = member.server().state() == Api.State.GONE;
+            if (!host.gone) {
+                owners.put(host.endpoint, host.id);
+            }
         }
         if (mode != Api.ListMode.DELTA) {
             unnamed.forEach(host -> host.gone = true);
@@ -178,6 +183,7 @@
     void sweep() {
         links.sweep(Clock.now(), site.idleTime);
         hosts.values().removeIf(host -> host.gone && links.forget(host.id));
+        owners.values().removeIf(id -> !hosts.containsKey(id));
     }
 
     String gauges() {
@@ -187,6 +193,8 @@
     /** One connection, its states in order: coming up, then idle or carrying an attempt, then closed. */
     final class Link extends ChannelInboundHandlerAdapter {
         private final Host host;
+        /** Where it was opened to; its host may be listed elsewhere by now, and another one there. */
+        private final InetSocketAddress endpoint;
         private final HostProtocol.Dialog dialog = protocol.open();
         private Channel channel;
         private Attempt<Request, Client, Link, Answer> attempt;
@@ -210,6 +218,7 @@
 
         private Link(Host host) {
             this.host = host;
+            this.endpoint = host.endpoint;
         }
 
         /** For logs: its number, its host, and what it has carried. */
@@ -228,7 +237,7 @@
                 protected void initChannel(Channel fresh) {
                     fresh.pipeline().addLast(dialog.decoder(), Link.this);
                 }
-            }).connect(host.endpoint);
+            }).connect(endpoint);
             channel = up.channel();
             up.addListener(done -> {
                 if (done.isSuccess()) {
@@ -276,7 +285,7 @@
         }
 
         private void write() {
-            Reason hindrance = listener.hindrance(attempt);
+            Reason hindrance = leadsAstray() ? Reason.CONNECT_FAILED : listener.hindrance(attempt);
             if (hindrance != null) {
                 finish(hindrance, null, true);
                 return;
@@ -298,6 +307,11 @@
             }
         }
 
+        /** Whether another process than its host answers at its far end, or may: nothing of the attempt has left. */
+        private boolean leadsAstray() {
+            return !endpoint.equals(host.endpoint) || !Long.valueOf(host.id).equals(owners.get(endpoint));
+        }
+
         /** Hears of bytes that have left while others have not. */
         private final class Progress implements ChannelProgressiveFutureListener {
             @Override
@@ -423,7 +437,7 @@
         }
 
         private void goIdle() {
-            if (listener.isLeaving(host.id) || !channel.isActive()) {
+            if (listener.isLeaving(host.id) || !channel.isActive() || leadsAstray()) {
                 channel.close();
                 return;
             }
--- a/src/test/java/eiderscale/net/ConnectingTest.java
+++ b/src/test/java/eiderscale/net/ConnectingTest.java
@@ -1,5 +1,6 @@
 package eiderscale.net;
 
+import eiderscale.Api;
 import eiderscale.config.Catalog;
 import eiderscale.config.Json;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -152,4 +153,32 @@
             }
         }
     }
+
+    /** Guards against work that goes to the wrong host: another one was listed at the address while a connection came up. */
+    @Test
+    void aConnectionToAnAddressThatAnotherHostHasTakenOverIsNotUsed() throws Exception {
+        try (FullHost host = new FullHost(); Rig rig = new Rig()) {
+            rig.extraTargets.add(host.target());
+            rig.graceMs = 5_000;
+            rig.start();
+            try (Peer client = rig.client()) {
+                client.write(Rig.COPY + "\r\n");
+                ServingTest.awaitGauge(rig, "open 1 ");
+                String gone = host.target().replace("Ready", "Gone");
+                String follows = host.target().replace("s-full", "s-new");
+                Catalog list = Catalog.parse(Json.parse(("{\"rev\":8,\"all\":false,\"targets\":[" + gone + "," + follows + "]}")
+                        .getBytes()), rig.site());
+                rig.loop.submit(() -> rig.node.onList(Api.ListMode.DELTA, list.members())).sync();
+                try (Peer taken = host.accept()) {
+                    assertEquals(null, taken.line(), "nothing is written to the one that follows");
+                }
+                try (Peer again = host.accept()) {
+                    assertTrue(again.line().startsWith("ms 7f3a9c21e0b4d655 5 O2"), "it goes out again, to the new host");
+                    again.data(5);
+                    again.write("HD O2 c5\r\n");
+                    assertEquals("HD O2 c5", client.line());
+                }
+            }
+        }
+    }
 }
