Discovery is asked again in time behind an outage and behind a move

A first call to a new address that failed was made again in the module's turn, though its news count 4 s after SIGHUP.

Cause: Router.askLater waited up to 20 s behind a failed call, by rank and number of failures; a broken watch counted as the first.

Change: behind a failure it waits 4 s at most, still spread by rank: changes count as told 6 s after they could be, and a call may stand in line for two of these. A failed call to a new address is made again after 0.5 s until one succeeds. Of two hosts at one address the one that is ready counts as its owner.

RouterTest.whoeverAsksLastBehindAnOutageAsksInTime ('waits 4491 ms') and DiscoveryTest.aFailedFirstCallToAMovedDiscoveryIsMade- AgainInTime (null for 'FULL 1') failed before and pass.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -13,6 +13,8 @@
     private static final int TIMER_LIST = 2;
     /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
     private static final double SUBSCRIBE_SPREAD = 0.5;
+    /** Behind a failed call: changes count as told 6 s after they could be, and a call may stand in line for two of these. */
+    private static final long LONGEST_ASK_AGAIN = 4_000_000_000L;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
     /** A host less busy than this that turns work away does so for another cause than load. */
@@ -77,8 +79,11 @@
     /** Subscribes in this instance's turn: its rank and chance keep the instances out of step. */
     private void askLater(long now) {
         double turn = (settings.rank() + health.nextUnit()) / Math.max(1, settings.instances());
-        double spread = settings.askWithin() * SUBSCRIBE_SPREAD * turn;
-        actions.wakeAt(now + 1 + (long) (spread * Math.min(4, 1 + listFailures / 2)), TIMER_LIST);
+        double spread = settings.askWithin() * SUBSCRIBE_SPREAD;
+        if (listFailures > 0) {
+            spread = Math.min(LONGEST_ASK_AGAIN, spread * Math.min(4, 1 + listFailures / 2));
+        }
+        actions.wakeAt(now + 1 + (long) (spread * turn), TIMER_LIST);
     }
 
     @Override
--- a/src/main/java/eiderscale/net/Discovery.java
+++ b/src/main/java/eiderscale/net/Discovery.java
@@ -52,6 +52,8 @@
     private static final long RECHECK_MS = 5;
     /** Silence for so long past that is a failure; a call may stand in line for two seconds. */
     private static final long RECHECK_SILENCE_MS = 2_500;
+    /** From a failed first call to a new address to the next one. */
+    private static final long MOVED_AGAIN_MS = 500;
     private static final int CONNECT_MS = 1_000;
     /** At most one call in this time, should answers come at once for ever; a watch allows 200 ms. */
     private static final long LEAST_MS = 100;
@@ -146,6 +148,15 @@
         current.start();
     }
 
+    /** What discovery at a new address has to tell counts as told within seconds of the move, whoever's turn it is. */
+    private void askNewAddressAgain() {
+        if (moved) {
+            Call again = new Call();
+            current = again;
+            loop.schedule(again::start, MOVED_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Where discovery refuses, it is asked again every few milliseconds: told in part, lest that fills the log. */
     private void tell(String why) {
         long now = Clock.now();
@@ -302,6 +313,7 @@
             drop();
             current = null;
             tell(why);
+            askNewAddressAgain();
             listener.onList(ListMode.FAILED, List.of());
             if (isRecheck) {
                 listener.onRechecked();
--- a/src/main/java/eiderscale/net/HostPool.java
+++ b/src/main/java/eiderscale/net/HostPool.java
@@ -128,8 +128,10 @@
                 host.endpoint = member.endpoint();
             }
             host.gone = member.server().state() == Api.State.GONE;
-            if (!host.gone) {
+            if (member.server().state() == Api.State.READY) {
                 owners.put(host.endpoint, host.id);
+            } else if (!host.gone) {
+                owners.putIfAbsent(host.endpoint, host.id);
             }
         }
         if (mode != Api.ListMode.DELTA) {
--- a/src/test/java/eiderscale/RouterTest.java
+++ b/src/test/java/eiderscale/RouterTest.java
@@ -417,6 +417,24 @@
         }
     }
 
+    /** Guards against sends to draining servers: behind an outage of discovery the last to ask waited for up to 20 s. */
+    @Test
+    void whoeverAsksLastBehindAnOutageAsksInTime() {
+        Bed.SettingsBuilder builder = new Bed.SettingsBuilder();
+        builder.subscribe = true;
+        builder.instances = 6;
+        builder.rank = 5;
+        Bed bed = new Bed(builder);
+        for (int failures = 0; failures < 12; failures++) {
+            bed.wakes.clear();
+            bed.router.onList(bed.now, Api.ListMode.FAILED, List.of());
+            long wait = bed.wakes.get(0).moment() - bed.now;
+            // Changes count as told 6 s after they could be, and a call may stand in line for 2 s.
+            assertTrue(wait <= 4_000 * Bed.MS, "waits " + wait / Bed.MS + " ms behind failure " + failures);
+            bed.pass(10_000);
+        }
+    }
+
     @Test
     void aStartedStreamBelongsToTheClient() {
         Bed bed = bed().servers(4);
--- a/src/test/java/eiderscale/net/DiscoveryTest.java
+++ b/src/test/java/eiderscale/net/DiscoveryTest.java
@@ -265,6 +265,46 @@
         }
     }
 
+    /** Guards against stale lists behind a move: where the first call to the new address failed, the next one had to wait its turn. */
+    @Test
+    void aFailedFirstCallToAMovedDiscoveryIsMadeAgainInTime() throws Exception {
+        java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+        FakeHost other = new FakeHost(peer -> {
+            if (asked.incrementAndGet() < 3) {
+                peer.reset();
+            } else {
+                peer.line();
+                peer.write(list(3, true, Rig.target("s-9", "127.0.0.1:9", "Ready")));
+            }
+        });
+        try (FakeHost discovery = discovery(); other; Rig rig = new Rig(FakeHost.serving())) {
+            rig.discovery = discovery.endpoint();
+            // Its turn to ask comes late.
+            rig.module = (settings, seed, actions) -> new Scripted(actions) {
+                @Override
+                public void onList(long now, Api.ListMode mode, List<Api.Server> servers) {
+                    told.add(mode + " " + servers.size());
+                    if (mode == Api.ListMode.CACHED) {
+                        actions.subscribe();
+                    }
+                }
+            };
+            rig.start();
+            assertEquals("CACHED 1", next(told));
+            assertNotNull(next(calls));
+            Path config = Files.writeString(folder.resolve("config.json"), rig.config("127.0.0.1:0"));
+            rig.discovery = other.endpoint();
+            Files.writeString(config, rig.config("127.0.0.1:0"));
+            long end = System.nanoTime() + TOLD_BEHIND_MOVE_MS * 1_000_000L;
+            reload(rig, new Reloads(config));
+            String last = "";
+            while (!last.equals("FULL 1") && System.nanoTime() < end) {
+                last = String.valueOf(told.poll(TOLD_BEHIND_MOVE_MS, TimeUnit.MILLISECONDS));
+            }
+            assertEquals("FULL 1", last, "within the time in which it counts as told");
+        }
+    }
+
     private static void reload(Rig rig, Reloads file) throws Exception {
         rig.loop.submit(() -> file.reload(rig.node)).get();
     }
