A stop waits for long answers that have begun

Cause: Node.await ended the process at the earliest moment of a kill, as every deadline has passed by then. An answer that has begun has none.

Change: past that moment the process goes on while a client has yet to be given the rest of an answer, for 60 s at most. Clients that take nothing are cut after the stall time, hosts that give nothing as before.

--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -306,6 +306,11 @@
         return open() == 0 && !output.isWaiting();
     }
 
+    /** Whether its client has yet to be given the rest of an answer. */
+    final boolean isAnswering() {
+        return !gone && !isDone();
+    }
+
     /** Whether it goes behind what has been sent by now. */
     private boolean isEnding() {
         return retiring || server.isFinishing();
--- a/src/main/java/eiderscale/net/ClientServer.java
+++ b/src/main/java/eiderscale/net/ClientServer.java
@@ -28,6 +28,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** Listens for clients, and carries out on their sockets what the table of connections decides. */
 public final class ClientServer {
@@ -146,11 +147,22 @@
         unlisten();
         table.stop();
         closeResting();
+        connections().filter(connection -> connection.open() > 0).forEach(ClientConnection::adjust);
+    }
+
+    /** Whether some client has yet to be given the rest of an answer. */
+    boolean isAnswering() {
+        return connections().anyMatch(ClientConnection::isAnswering);
+    }
+
+    private Stream<ClientConnection> connections() {
+        List<ClientConnection> all = new ArrayList<>();
         ((SingleThreadEventLoop) loop).registeredChannelsIterator().forEachRemaining(channel -> {
-            if (channel.pipeline().last() instanceof ClientConnection connection && connection.open() > 0) {
-                connection.adjust();
+            if (channel.pipeline().last() instanceof ClientConnection connection) {
+                all.add(connection);
             }
         });
+        return all.stream();
     }
 
     /** Takes no more connections, and closes those there are behind their next answer. */
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -30,6 +30,8 @@
     private static final long GRANTED = 700 * Clock.MILLISECOND;
     /** Taken off that, for the way of the last answer. */
     private static final long LAST_WAY = 150 * Clock.MILLISECOND;
+    /** A long answer that has begun is waited for so long past the end of a stop, unless the process is killed. */
+    private static final long MOST_PAST_END = 60 * Clock.SECOND;
     private static final long LOOK_MS = 10;
     private static final long SWEEP_MS = 250;
     private static final int SWEEPS_PER_PRINT = 40;
@@ -313,12 +315,19 @@
     }
 
     private void await(Promise<Void> done, long end) {
-        // By the end every deadline has passed: only a client that does not read can still be there.
-        if (server.clients() == 0 && open() == 0 || Clock.now() >= end) {
+        if (server.clients() == 0 && open() == 0 || isOver(Clock.now() - end)) {
             print();
             done.setSuccess(null);
         } else {
             loop.schedule(() -> await(done, end), LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
+
+    /**
+     * Whether nothing is waited for any longer, so much past the end. Every deadline has passed by then: what is still on its
+     * way are long answers that have begun, which go on for as long as the process may live.
+     */
+    private boolean isOver(long pastEnd) {
+        return pastEnd >= 0 && (pastEnd >= MOST_PAST_END || !server.isAnswering());
+    }
 }
--- a/src/test/java/eiderscale/platform/LongValuesTest.java
+++ b/src/test/java/eiderscale/platform/LongValuesTest.java
@@ -185,6 +185,50 @@
         }
     }
 
+    /** A host that writes a long value by and by, for longer than any deadline. */
+    private static final class Unhurried extends Host {
+        private static final int PIECES = 40;
+
+        Unhurried(String name) throws IOException {
+            super(name);
+        }
+
+        @Override
+        void answer(String line, String id, InputStream in, Socket socket) throws IOException {
+            String key = line.split(" ")[1];
+            int length = Values.length(key);
+            say(socket, "VA " + length + " " + id + "\r\n");
+            for (int i = 0; i < PIECES; i++) {
+                Values.write(key, i * (length / PIECES), (i + 1) * (length / PIECES), socket.getOutputStream());
+                try {
+                    Thread.sleep(100);
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+            say(socket, "\r\n");
+        }
+    }
+
+    /** Guards against an answer that is cut off: the process ended itself though it was still passing on what its host gave. */
+    @Test
+    void aValueThatItsHostIsStillWritingIsWholeBehindAStop() throws Exception {
+        try (Programs programs = new Programs(folder, new Unhurried("s-0"))) {
+            Program program = programs.start().awaitHealth();
+            try (Socket client = programs.client()) {
+                String key = "bulk800000x1";
+                say(client, "mg " + key + " v Oa Pc=read,t=t,d=1000\r\n");
+                InputStream in = new BufferedInputStream(client.getInputStream());
+                assertEquals("VA 800000 Oa", Programs.line(in));
+                program.signal("TERM");
+                Values.check(key, 800_000, in);
+                assertEquals("", Programs.line(in));
+                assertNull(Programs.line(in), "the end, in order");
+            }
+            assertEquals(0, program.end());
+        }
+    }
+
     /** Whoever leaves in the middle, client or writer, leaves the balancer as it was; half a write never reaches its end. */
     @Test
     void peersThatLeaveInTheMiddleCostNobodyElseAnything() throws Exception {
