An unsafe id runs at one of the two processes of an upgrade

Cause: the two processes of an upgrade know nothing of each other's requests.

Change: from the moment in which a successor is told what is known, both claim the id of each unsafe request before it goes out: an empty file that must not be there yet, in the folder that both have (handover.SharedIds). The old process claims what is open by then. A claim ends with the answer; where the client left it lasts for 30 s past the end of the old process. A folder that takes no files costs the guard and a line in the log, no request. Not chosen: telling the ids by the record of the hand-over alone, which knows nothing of what comes to the old process behind it.

--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -32,6 +32,7 @@
     private final List<Node> nodes;
     private final String balancer;
     private final Succession succession;
+    private final SharedIds ids;
     private Supplier<String> onMembers = () -> null;
     private Supplier<String> onAsked = () -> null;
     private Consumer<Knowledge> onCalls = calls -> { };
@@ -40,6 +41,8 @@
         this.nodes = List.copyOf(nodes);
         this.balancer = balancer;
         this.succession = succession;
+        this.ids = new SharedIds(succession.folder("ids"));
+        first().claims(ids);
     }
 
     /**
@@ -72,6 +75,7 @@
         duty.hear();
         duty.first().onSweep(duty::look);
         if (succession.follows()) {
+            duty.ids.begin();
             duty.first().watch();
             Counters.log("follows another process" + (told == null ? "" : ", which told of "
                     + told.calls().size() + " calls" + (told.learnt() == null ? "" : ", "
@@ -132,8 +136,12 @@
         hear();
         succession.look(() -> {
             Counters.log("a successor asks: it is told what is known");
+            ids.beginAlone(first().unsafeIds());
             return all().encode();
         });
+        if (ids.isActive() && !succession.follows() && !succession.isFollowed()) {
+            ids.endSoon();
+        }
     }
 
     private void merge(List<Maintenance.Call> calls) {
--- a/src/main/java/eiderscale/handover/Succession.java
+++ b/src/main/java/eiderscale/handover/Succession.java
@@ -51,6 +51,11 @@
         return own;
     }
 
+    /** A folder that the processes of this balancer share; null where they share nothing. */
+    Path folder(String what) {
+        return folder == null ? null : file(what);
+    }
+
     private Path file(String what) {
         return folder.resolve("stairshelf-" + name + "." + what);
     }
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -136,6 +136,17 @@
         return spentIds.contains(enter(now), id);
     }
 
+    /** The ids of unsafe requests that are open, or may have run and were never answered. */
+    public List<String> unsafeIds(long now) {
+        List<String> ids = new ArrayList<>(spentIds.all(enter(now)));
+        for (Exchange<W, C, L, A> exchange : exchanges.values()) {
+            if (!exchange.over && exchange.work().id() != null && requestClass(exchange).effect() == Api.Effect.FRAGILE) {
+                ids.add(exchange.work().id());
+            }
+        }
+        return ids;
+    }
+
     /** The number of requests that are owed an answer. */
     public int open() {
         return open;
--- a/src/main/java/eiderscale/ledger/SpentIds.java
+++ b/src/main/java/eiderscale/ledger/SpentIds.java
@@ -1,7 +1,9 @@
 package eiderscale.ledger;
 
+import java.util.Collection;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -9,9 +11,9 @@
  * its end, so that the same id may come again, and would run a second time. They are remembered for a while, and as many as
  * there is room for.
  */
-final class SpentIds {
+public final class SpentIds {
     /** A client that comes again does so within seconds; in nanoseconds. */
-    private static final long KEPT = 30_000_000_000L;
+    public static final long KEPT = 30_000_000_000L;
     private static final int MOST_IDS = 8192;
 
     /** By id, when it may be forgotten; the oldest first. */
@@ -35,6 +37,12 @@
         return until.containsKey(id);
     }
 
+    /** All that are remembered. */
+    Collection<String> all(long now) {
+        forget(now);
+        return List.copyOf(until.keySet());
+    }
+
     private void forget(long now) {
         Iterator<Long> oldest = until.values().iterator();
         while (oldest.hasNext() && oldest.next() <= now) {
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -1,5 +1,6 @@
 package eiderscale.meta;
 
+import eiderscale.Api;
 import eiderscale.ledger.AnswerRoom;
 import eiderscale.net.ClientConnection;
 import eiderscale.net.ClientServer;
@@ -432,9 +433,11 @@
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
             }
-            if (command.write && front.hosts().knowsIds() && core().isSpent(command.id())) {
+            boolean isClaimed = isUnsafe(command);
+            if (isClaimed && (core().isSpent(command.id()) || !core().claims().claim(command.id()))) {
                 throw new MetaCommand.Malformed("id was in use and may have run");
             }
+            slot.isClaimed = isClaimed;
             if (!mayAskFor(command.tenant())) {
                 refuse(slot, core().retryAfterMs(PLACE_WAIT));
                 return;
@@ -458,6 +461,12 @@
         }
     }
 
+    /** Whether it must not run twice, nor a second time under its id. */
+    private boolean isUnsafe(MetaCommand command) {
+        return front.hosts().knowsIds()
+                && core().site().settings.classes().get(command.requestClass()).effect() == Api.Effect.FRAGILE;
+    }
+
     /** A command has its answer. Reads that come from here on must see what a write has done. */
     void ended(MetaCommand command) {
         if (command != null && command.write) {
--- a/src/main/java/eiderscale/meta/Slot.java
+++ b/src/main/java/eiderscale/meta/Slot.java
@@ -27,6 +27,8 @@
     final long waitedMs;
     /** Its command was read behind those that its connection serves before it ends. */
     final boolean isTooLate;
+    /** The other process of an upgrade carries out nothing under its id. */
+    boolean isClaimed;
     /** Null until the command has been read, and where it can't be taken. */
     private MetaCommand command;
     /** Null while it is not there, and for a value that is not held. */
@@ -187,6 +189,10 @@
         answer = data == null ? head
                 : Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(data), Unpooled.wrappedBuffer(LINE_END));
         charged = size;
+        if (isClaimed) {
+            connection.pool().claims().release(command.id());
+            isClaimed = false;
+        }
         if (command != null && command.upload == null) {
             // An answer that waits needs nothing of its command.
             command = null;
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -70,6 +70,7 @@
     private Heartbeat heartbeat;
     private final EventLoop loop;
     private Journal journal;
+    private IdClaims claims = IdClaims.NONE;
     /** It asks though nobody has watched yet. */
     private boolean returning;
     private String journalRun = "";
@@ -102,6 +103,19 @@
         return ledger.isSpent(Clock.now(), id);
     }
 
+    @Override
+    public IdClaims claims() {
+        return claims;
+    }
+
+    void claims(IdClaims shared) {
+        claims = shared;
+    }
+
+    List<String> unsafeIds() {
+        return ledger.unsafeIds(Clock.now());
+    }
+
     @Override
     public Taken take(Request request, Client client) {
         look();
--- a/src/main/java/eiderscale/net/Core.java
+++ b/src/main/java/eiderscale/net/Core.java
@@ -17,6 +17,9 @@
     /** Whether an unsafe request with this id may have run, whose client left without an answer: it must not run again. */
     boolean isSpent(String id);
 
+    /** What another process of this balancer must not carry out as well. */
+    IdClaims claims();
+
     /**
      * Takes a request, which is answered exactly once unless its client leaves first; perhaps before this returns.
      * Throws {@link IllegalStateException} if its id is open.
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -96,6 +96,16 @@
         onSweep = task;
     }
 
+    /** Has unsafe requests claimed by their ids, of which another process may serve some. */
+    public void claims(IdClaims shared) {
+        balancers.forEach(balancer -> balancer.claims(shared));
+    }
+
+    /** The ids of unsafe requests that are open, or may have run and were never answered. */
+    public List<String> unsafeIds() {
+        return balancers.stream().flatMap(balancer -> balancer.unsafeIds().stream()).toList();
+    }
+
     /** Goes on with discovery's list at once, as another process has had it until now. */
     public void watch() {
         balancers.get(0).watch();
--- a/src/test/java/eiderscale/platform/UpgradeTest.java
+++ b/src/test/java/eiderscale/platform/UpgradeTest.java
@@ -98,6 +98,52 @@
         }
     }
 
+    /** Guards against effects that happen twice: an unsafe id came again at the other process after its client had left. */
+    @Test
+    void anUnsafeIdRunsAtOneOfTwoProcesses() throws Exception {
+        int connections = 24;
+        Programs.Host host = new Programs.Host("s-0") {
+            @Override
+            void answer(String line, String id, java.io.InputStream in, Socket socket) throws IOException {
+                if (line.startsWith("ms once ")) {
+                    pause(1_500);
+                }
+                super.answer(line, id, in, socket);
+            }
+        };
+        try (Programs programs = new Programs(folder, host)) {
+            programs.patient(4_000);
+            Program old = programs.start().awaitHealth();
+            byte[] once = "ms once 1 Oonce Pc=copy,t=t,d=4000\r\nx\r\n".getBytes(StandardCharsets.US_ASCII);
+            Socket leaves = programs.client();
+            leaves.getOutputStream().write(once);
+            Program fresh = programs.start().awaitHealth();
+            leaves.close();
+            // Each of the two processes has some of these.
+            for (int i = 0; i < connections; i++) {
+                try (Socket again = programs.client()) {
+                    again.getOutputStream().write(once);
+                    assertTrue(Programs.reader(again).readLine().startsWith("CLIENT_ERROR id "), "not again");
+                }
+            }
+            assertEquals(1, host.commands.stream().filter(line -> line.startsWith("ms once ")).count());
+            assertEquals(0, old.stop());
+            try (Socket other = programs.client()) {
+                other.getOutputStream().write("ms two 1 Otwo Pc=copy,t=t,d=4000\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals("HD Otwo c7", Programs.reader(other).readLine());
+            }
+            assertEquals(0, fresh.stop());
+        }
+    }
+
+    private static void pause(int ms) throws IOException {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     @Test
     void upgradesUnderLoadLoseNothingAndMeetFewClosedDoors() throws Exception {
         try (Programs programs = new Programs(folder, 3)) {
