Taking in a long value has a class of its own

Change: LongValueIntake has one value each, from its head to its end; the connection asks it whether more may come.

--- a/src/main/java/eiderscale/Router.java
+++ b/src/main/java/eiderscale/Router.java
@@ -13,7 +13,7 @@
     private static final int TIMER_LIST = 2;
     /** Part of the ask-within time over which first subscriptions are spread, and of each back-off step. */
     private static final double SUBSCRIBE_SPREAD = 0.5;
-    /** Behind a failed call: changes count as told 6 s after they could be, and a call may stand in line for two of these. */
+    /** Behind a failed call: changes count as told 6 s after they could be, of which a call may wait two. */
     private static final long LONGEST_ASK_AGAIN = 4_000_000_000L;
     /** Part of the aim within which the origin answers while it has room. */
     private static final double QUICK = 0.5;
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -9,10 +9,8 @@
 import eiderscale.net.Upload;
 import eiderscale.values.ValueRoom;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannel;
-import java.nio.charset.StandardCharsets;
 
 /**
  * One client of the meta protocol: reads its commands and writes their answers in the order of the commands. An idle
@@ -37,11 +35,7 @@
     /** After a fault a connection is not read for this long, and after so many faults no more at all. */
     private static final long PENALTY_MS = 50;
     private static final int MOST_FAULTS = 8;
-    /** Between two looks at whether more of a long value has been sent. */
-    private static final long LOOK_MS = 10;
     private static final long PLACE_WAIT = Clock.SECOND;
-    /** A long value of which nothing comes for so long is given up, as any command is that does not become whole. */
-    private static final long BODY_REST = 2500 * Clock.MILLISECOND;
 
     private final MetaFront front;
     /** Its part of the memory for answers that wait. */
@@ -67,12 +61,8 @@
     /** The command that was read last, and its place, until it is begun. */
     private Slot pending;
     private MetaFrame pendingFrame;
-    /** Where the long value goes that is coming in; null if there is none or nobody wants it. */
-    private Slot uploader;
-    /** When the last of a long value came. */
-    private long bodyAt;
-    private boolean bodyWatched;
-    private boolean bodyLooked;
+    /** The long value that is coming in; null if there is none. */
+    private LongValueIntake intake;
 
     MetaConnection(MetaFront front, ClientServer server, SocketChannel channel) {
         super(server, channel);
@@ -92,7 +82,7 @@
         if (!isGone() && !isQuitting() && !hasRoom()) {
             channel().config().setAutoRead(false);
             aheadFull = true;
-            if (uploader == null && !overrun) {
+            if (intake == null && !overrun) {
                 overrun = true;
                 later(this::adjust);
             }
@@ -128,7 +118,7 @@
 
     @Override
     protected boolean hasRoom() {
-        return mayTakeIn() || (uploader == null ? super.hasRoom() : ahead().size() < MOST_BODY_AHEAD);
+        return mayTakeIn() || (intake == null ? super.hasRoom() : ahead().size() < MOST_BODY_AHEAD);
     }
 
     @Override
@@ -145,7 +135,7 @@
 
     /** Whether what is coming in of a long value, if anything, has somewhere to go. */
     private boolean wantsBody() {
-        return uploader == null || uploader.command().upload.wantsMore();
+        return intake == null || intake.mayCome();
     }
 
     /** A host takes more of a long value, or none of it any more. */
@@ -193,8 +183,8 @@
             begin(slot, before);
             if (frame.bulk() > 0) {
                 // What follows it has to have a place to go to.
+                intake = new LongValueIntake(this);
                 beginPending();
-                watchBody();
             }
             taken++;
         }
@@ -222,7 +212,7 @@
 
     /** The next command; null if it is not here, or none may be taken in now. */
     private MetaFrame next() {
-        if (parser.isInBulk() && !passOn()) {
+        if (ahead().isEmpty() || intake != null && !passOn()) {
             return null;
         }
         return mayRead() && mayTakeIn() ? parser.next(ahead().bytes()) : null;
@@ -230,103 +220,33 @@
 
     /** Passes on what is here of a long value; true if that was the last of it and more may be read behind it. */
     private boolean passOn() {
-        for (ByteBuf part = nextPart(); part != null; part = nextPart()) {
-            bodyAt = Clock.now();
-            if (uploader == null) {
-                part.release();
-            } else {
-                uploader.command().upload.part(part);
-            }
-        }
-        MetaFrame end = wantsBody() && !ahead().isEmpty() ? parser.end(ahead().bytes()) : null;
+        MetaFrame end = intake.passOn(parser, ahead().bytes());
         if (end == null) {
             return false;
         }
-        Slot ended = uploader;
-        uploader = null;
+        LongValueIntake ended = intake;
+        intake = null;
         if (end.fault() != null) {
             faulty();
             quit();
-            if (ended != null) {
-                // Its host never has the last byte: it does not run, and is answered as that.
-                ended.command().upload.cut();
-            }
+            ended.cut();
             return false;
         }
-        if (ended != null) {
-            ended.command().upload.part(Unpooled.copiedBuffer("\r\n", StandardCharsets.ISO_8859_1));
-            ended.command().upload.end();
-            ended.bodyEnded();
-        }
+        ended.end();
         return true;
     }
 
-    private ByteBuf nextPart() {
-        return wantsBody() && !ahead().isEmpty() ? parser.part(ahead().bytes()) : null;
-    }
-
     @Override
     protected void readTurnEnded(boolean isSocketEmpty) {
-        if (uploader == null) {
-            return;
-        }
-        boolean isEndHere = parser != null && ahead().size() >= parser.bulkLeft();
-        uploader.bodyCame(isSocketEmpty && !isEndHere);
-        if (!isSocketEmpty && !bodyLooked) {
-            bodyLooked = true;
-            later(this::lookForBody, LOOK_MS);
-        }
-    }
-
-    /** Its socket may have been empty since the last turn, and would say nothing of that. */
-    private void lookForBody() {
-        bodyLooked = false;
-        if (isGone() || uploader == null) {
-            return;
-        }
-        if (mayRead() && mayTakeIn()) {
-            readNow();
-        } else {
-            bodyLooked = true;
-            later(this::lookForBody, LOOK_MS);
+        if (intake != null) {
+            intake.readTurnEnded(isSocketEmpty, isSocketEmpty && ahead().size() < parser.bulkLeft());
         }
     }
 
-    /** A long value that is coming in, wanted or not, has a time of its own: see {@link #seeBody}. */
+    /** A long value that is coming in has a time of its own. */
     @Override
     protected boolean isHalf() {
-        return !isClean() && (parser == null || !parser.isInBulk());
-    }
-
-    private void watchBody() {
-        bodyAt = Clock.now();
-        if (!bodyWatched) {
-            bodyWatched = true;
-            later(this::seeBody, BODY_REST / Clock.MILLISECOND);
-        }
-    }
-
-    /** Whether more of a long value has come lately, or it is not read as its host takes nothing. */
-    private void seeBody() {
-        bodyWatched = false;
-        if (isGone() || isQuitting() || parser == null || !parser.isInBulk()) {
-            return;
-        }
-        long now = Clock.now();
-        if (!wantsBody()) {
-            bodyAt = now;
-        }
-        if (now - bodyAt >= BODY_REST) {
-            faulty();
-            quit();
-            if (uploader != null) {
-                uploader.command().upload.cut();
-            }
-            adjust();
-        } else {
-            bodyWatched = true;
-            later(this::seeBody, Math.max(1, (bodyAt + BODY_REST - now) / Clock.MILLISECOND));
-        }
+        return !isClean() && intake == null;
     }
 
     private void add(MetaFrame frame) {
@@ -345,6 +265,7 @@
 
     @Override
     protected void drop() {
+        dropIntake();
         if (parser != null) {
             parser.close();
             parser = null;
@@ -444,7 +365,7 @@
             }
             slot.command(command);
             if (body != null) {
-                uploader = slot;
+                intake.belongsTo(slot);
             }
             JoinedReads joined = front.joined(core(), channel().eventLoop());
             if (joined != null && joined.joins(command)) {
@@ -564,12 +485,40 @@
         channel().close();
     }
 
+    // What a long value asks and tells that is coming in.
+
+    void after(Runnable task, long ms) {
+        later(task, ms);
+    }
+
+    boolean mayReadOn() {
+        return mayRead() && mayTakeIn();
+    }
+
+    void look() {
+        readNow();
+    }
+
+    /** Nothing more of it has come for too long. */
+    void stopsHalfway() {
+        faulty();
+        quit();
+        dropIntake();
+        adjust();
+    }
+
+    private void dropIntake() {
+        LongValueIntake dropped = intake;
+        intake = null;
+        if (dropped != null) {
+            // Which calls back here.
+            dropped.cut();
+        }
+    }
+
     @Override
     protected void abandon() {
-        if (uploader != null) {
-            uploader.command().upload.cut();
-            uploader = null;
-        }
+        dropIntake();
         for (Slot slot = first; slot != null; slot = slot.next) {
             slot.abandon(front.joined(core(), channel().eventLoop()));
         }
