A test of full pipelines over HTTP at a stop

Requests that stand behind the answer in service when the process stops were let go without a word.

Change: HttpServingTest.aFullPipelineEndsAtAStopWithAWordOfThat asks that the last answer says 'connection: close', which tells the client that what it sent behind was not processed, and that nothing follows it.

--- a/src/test/java/eiderscale/sidecar/HttpServingTest.java
+++ b/src/test/java/eiderscale/sidecar/HttpServingTest.java
@@ -400,6 +400,27 @@
         }
     }
 
+    /** Guards against requests that are let go at a stop: a client with a full pipeline is told which answer is the last. */
+    @Test
+    void aFullPipelineEndsAtAStopWithAWordOfThat() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder).start(); Web client = fleet.client()) {
+            fleet.script(request -> Reply.of(200, "", "x").after(100));
+            client.send(Web.head("GET", "/").repeat(100));
+            assertEquals(200, client.page("GET").status());
+            io.netty.util.concurrent.Future<Void> stopped = fleet.sidecar.stop();
+            String last = null;
+            int answers = 0;
+            for (Page page = client.page("GET"); page != null; page = client.page("GET")) {
+                assertEquals(null, last, "nothing behind the answer that says it is the last");
+                last = page.field("connection");
+                answers++;
+            }
+            assertEquals("close", last);
+            assertTrue(answers < 99, "ended by the stop and not by the last request");
+            assertTrue(stopped.await(30_000));
+        }
+    }
+
     @Test
     void reloadsLoseNoRequest() throws Exception {
         try (HttpFleet fleet = new HttpFleet(folder).start()) {
