A connection that ends waits for its turn to refuse the rest

A client of the HTTP front that had sent 100 requests and ended its sending got 32 answers.

Cause: commands are taken in 32 at a time with 1 ms between. When all that was open had been answered in that rest, the connection counted as done though whole commands were still here (retireUnlessAsked), and over HTTP the end of sending counted as the end of the requests (mayTakeIn was always true).

Change: both ask whether more can be taken in, which is false in the rest.

Result: ClosingTest.whatStandsBehindAStopIsRefusedThoughAllThatWasOpenEndsAtOnce (190 of 200 before) and HttpFloodTest.allThatWasSentBeforeTheEndOfSendingIs- Answered fail without the change and pass with it.

--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -72,6 +72,11 @@
         return turn == null && !resting || super.hasRoom();
     }
 
+    @Override
+    protected boolean mayTakeIn() {
+        return !parsing && !rests();
+    }
+
     @Override
     protected void takeIn() {
         if (turn != null) {
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -331,9 +331,9 @@
         looking = false;
     }
 
-    /** Ends it once all that has come is answered, but for half a request; false while more may be in its socket. */
+    /** Ends it once all that has come is answered, but for half a request; false while more is here, or in its socket. */
     private boolean retireUnlessAsked() {
-        if (!seenEmpty) {
+        if (!seenEmpty || !isClean() && !mayTakeIn()) {
             return false;
         }
         linger();
--- a/src/test/java/eiderscale/net/ClosingTest.java
+++ b/src/test/java/eiderscale/net/ClosingTest.java
@@ -262,6 +262,39 @@
         }
     }
 
+    /** Guards against lost requests: between two turns of refusals none was open, and the rest was let go (review/4, now and then). */
+    @Test
+    void whatStandsBehindAStopIsRefusedThoughAllThatWasOpenEndsAtOnce() throws Exception {
+        int commands = 200;
+        java.util.concurrent.CountDownLatch gate = new java.util.concurrent.CountDownLatch(1);
+        FakeHost host = FakeHost.answering(command -> {
+            try {
+                gate.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return FakeHost.served(command);
+        });
+        try (Rig rig = new Rig(host).start(); Peer client = rig.client()) {
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < commands; i++) {
+                all.append("mg k v Os").append(i).append(" Pc=read,t=acme,d=9000\r\n");
+            }
+            client.write(all.toString());
+            ServingTest.awaitGauge(rig, "open 64 ");
+            rig.loop.submit(rig.node::closeClients).sync();
+            gate.countDown();
+            int answers = 0;
+            for (String line = client.line(); line != null; line = client.line()) {
+                if (line.startsWith("VA ")) {
+                    client.line();
+                }
+                answers++;
+            }
+            assertEquals(commands, answers);
+        }
+    }
+
     /** A stop is such a close for all connections at once. */
     @Test
     void commandsThatComeInTheTurnOfAStopAreServed() throws Exception {
--- a/src/test/java/eiderscale/sidecar/HttpFloodTest.java
+++ b/src/test/java/eiderscale/sidecar/HttpFloodTest.java
@@ -29,7 +29,7 @@
             Web flooding = fleet.client();
             fleet.script(request -> Reply.of(200, "", "x"));
             AtomicBoolean over = new AtomicBoolean();
-            String some = Web.head("TRACE", "/").repeat(500);
+            String some = Web.head("PUT", "/").repeat(500);
             Thread writer = daemon(() -> {
                 while (!over.get()) {
                     flooding.send(some);
@@ -59,6 +59,21 @@
         }
     }
 
+    /** Guards against lost requests: one that has ended its sending is answered to its last request, rests or not. */
+    @Test
+    void allThatWasSentBeforeTheEndOfSendingIsAnswered() throws Exception {
+        int requests = 100;
+        try (HttpFleet fleet = new HttpFleet(folder).start();
+                java.net.Socket client = new java.net.Socket(fleet.sidecar.httpAddresses().get(0).getAddress(),
+                        fleet.sidecar.httpAddresses().get(0).getPort())) {
+            client.setSoTimeout(Talk.LIMIT_MS);
+            client.getOutputStream().write(Web.head("PUT", "/").repeat(requests).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            client.shutdownOutput();
+            String all = new String(client.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.US_ASCII);
+            assertEquals(requests, all.split("HTTP/1.1 ", -1).length - 1, all.substring(0, Math.min(200, all.length())));
+        }
+    }
+
     private interface Task {
         void run() throws IOException;
     }
