--- a/src/test/java/eiderscale/platform/CrowdsTest.java
+++ b/src/test/java/eiderscale/platform/CrowdsTest.java
@@ -182,6 +182,16 @@
     /** Guards against running out of memory: many commands that wait behind one, on each connection. */
     @Test
     void manyCommandsBehindASlowOne() throws Exception {
+        manyCommands("many", 200);
+    }
+
+    /** Guards against running out of memory: the same with five times as many, which once ended in an OutOfMemoryError. */
+    @Test
+    void veryManyCommandsBehindASlowOne() throws Exception {
+        manyCommands("very-many", 1_000);
+    }
+
+    private void manyCommands(String name, int commands) throws Exception {
         Host slow = new Host("s-0") {
             @Override
             void answer(String line, String id, InputStream in, Socket socket) throws IOException {
@@ -191,9 +201,9 @@
             }
         };
         String filler = "y".repeat(200);
-        crowd("many", slow, HOLD_MS, (socket, number) -> {
+        crowd(name, slow, HOLD_MS, (socket, number) -> {
             StringBuilder all = new StringBuilder();
-            for (int i = 0; i < 200; i++) {
+            for (int i = 0; i < commands; i++) {
                 all.append(read("k" + filler + i, "m" + number + "-" + i));
             }
             say(socket, all.toString());
