A stop answers all that is open before the earliest SIGKILL

What callers saw: in an upgrade with a class of 5 s, a request that the old process read 1.2 s behind SIGTERM had no answer at SIGKILL, 3.72 s behind it. Requests of such classes that were open at SIGTERM, reads that wait for another's fetch and requests over HTTP had none either.

Classes that a reload has dropped count no more. The checker's rule for the end of a process holds for what is open at its signal as well.

--- a/src/main/java/eiderscale/check/SmallWorld.java
+++ b/src/main/java/eiderscale/check/SmallWorld.java
@@ -94,8 +94,6 @@
         Exchange<Asked, Asked, Carrier, Boolean> exchange;
         long takenAt;
         boolean taken;
-        /** It came when the process had been told to end: in the same moment others may have come before that. */
-        boolean behindStop;
         boolean gone;
         int answers;
         int runs;
@@ -413,7 +411,6 @@
                 Asked asked = requests.get(at);
                 asked.taken = true;
                 asked.takenAt = now;
-                asked.behindStop = stopped;
                 asked.exchange = ledger.take(now, asked, asked);
             }
             case LEAVE -> {
@@ -465,7 +462,7 @@
             case STOP -> {
                 stopped = true;
                 stoppedAt = now;
-                ledger.endBy(now + WAIT / 2);
+                ledger.endBy(now, now + WAIT / 2);
             }
             default -> throw new IllegalStateException(event.text());
         }
@@ -619,7 +616,7 @@
             }
         }
         for (Asked asked : requests) {
-            if (asked.behindStop && asked.isOwed() && now >= stoppedAt + WAIT / 2 && earliest() > now) {
+            if (stopped && asked.isOwed() && now >= stoppedAt + WAIT / 2 && earliest() > now) {
                 breaks("request " + asked.number + " is open past the end of the process");
             }
         }
@@ -751,7 +748,7 @@
         print.add(now).add(faults).add(lists).add(calls).add(renewals).add(stoppedAt).add(ledger.size())
                 .add(stands).add(heard).add(asks ? 1 : 0).add(untold).add(stoodAt).add(ledger.waiting());
         for (Asked asked : requests) {
-            print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(asked.behindStop ? 1 : 0).add(Math.min(2, asked.runs));
+            print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(Math.min(2, asked.runs));
         }
         // Which number an attempt has makes no difference to what becomes of it.
         List<Long> each = new ArrayList<>();
--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -7,6 +7,7 @@
 import eiderscale.knowledge.Knowledge;
 import eiderscale.knowledge.Recalled;
 import eiderscale.knowledge.Refused;
+import eiderscale.ledger.StopPlan;
 import eiderscale.maintenance.Maintenance;
 import eiderscale.net.Clock;
 import eiderscale.net.Counters;
@@ -250,9 +251,11 @@
     public Future<Void> stop(EventLoop loop) {
         boolean followed = succession.isFollowed();
         Counters.log(followed ? "stops: a successor takes clients" : "stops");
+        long longestDeadline = nodes.stream().mapToLong(Node::longestDeadline).max().orElse(0);
+        StopPlan plan = followed ? StopPlan.followed(Clock.now(), longestDeadline) : StopPlan.alone(Clock.now(), longestDeadline);
         Promise<Void> all = loop.newPromise();
         PromiseCombiner combiner = new PromiseCombiner(loop);
-        nodes.forEach(node -> combiner.add((Future<?>) (followed ? node.leave() : node.stop())));
+        nodes.forEach(node -> combiner.add((Future<?>) (followed ? node.leave(plan) : node.stopBy(plan))));
         combiner.finish(all);
         return all;
     }
--- a/src/main/java/eiderscale/ledger/Exchange.java
+++ b/src/main/java/eiderscale/ledger/Exchange.java
@@ -17,7 +17,7 @@
     /** The latest moment for a final answer. */
     long deadline;
     /** By then a body that is not held must have come, and its request be answered. */
-    final long bodyDeadline;
+    long bodyDeadline;
     /** The client has yet to send the rest of a body that is not held: it does not wait for an answer. */
     boolean isBodyAwaited;
     int pending;
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -353,20 +353,24 @@
         }
     }
 
-    /** Nothing that comes from here on may stay open past a moment. */
-    public void endBy(long moment) {
+    /** Nothing may stay open past a moment, neither what is open by now nor what comes from here on. */
+    public void endBy(long now, long moment) {
+        enter(now);
         endAt = moment;
+        exchanges.values().forEach(this::endInTime);
     }
 
-    /** The longest that any client of an open request or of one to come may wait, in nanoseconds. */
-    public long longestDeadline() {
-        long longest = 0;
-        for (Generation<W, C, L, A> generation : generations) {
-            for (Api.RequestClass requestClass : generation.terms.settings().classes()) {
-                longest = Math.max(longest, requestClass.deadline());
-            }
+    void endInTime(Exchange<W, C, L, A> exchange) {
+        exchange.bodyDeadline = Math.min(exchange.bodyDeadline, endAt);
+        long latest = exchange.isBodyAwaited ? endAt : endAt - WAYS;
+        if (!exchange.over && latest < exchange.deadline) {
+            moveDeadline(exchange, latest);
         }
-        return longest;
+    }
+
+    /** The longest deadline of the classes in service, in nanoseconds. */
+    public long longestDeadline() {
+        return current.terms.settings().classes().stream().mapToLong(Api.RequestClass::deadline).max().orElse(0);
     }
 
     // Hosts, as lists and operators have them.
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -237,12 +237,12 @@
         ledger.recall(Clock.now(), learnt);
     }
 
-    /** Nothing that comes from here on may stay open past a moment. */
+    /** Nothing may stay open past a moment, neither what is open by now nor what comes from here on. */
     void endBy(long moment) {
-        ledger.endBy(moment);
+        ledger.endBy(Clock.now(), moment);
     }
 
-    /** The longest that any client of an open request or of one to come may wait, in nanoseconds. */
+    /** The longest deadline of the classes in service, in nanoseconds. */
     long longestDeadline() {
         return ledger.longestDeadline();
     }
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -11,6 +11,7 @@
 import eiderscale.Router;
 import eiderscale.ledger.Budget;
 import eiderscale.ledger.Ledger;
+import eiderscale.ledger.StopPlan;
 import eiderscale.maintenance.Maintenance;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -22,14 +23,6 @@
 
 /** One balancer, put together: everything it has lives on one event loop. */
 public final class Node {
-    /** After a stop is asked for, clients go on coming for a while; they are served. */
-    private static final long ACCEPT_ON_MS = 600;
-    /** With a successor that listens, connections go behind their next answer for so long, and then the idle ones. */
-    private static final long PART_MS = 1_500;
-    /** A process that was told to end is ended no sooner than this past the longest deadline. */
-    private static final long GRANTED = 700 * Clock.MILLISECOND;
-    /** Taken off that, for the way of the last answer. */
-    private static final long LAST_WAY = 150 * Clock.MILLISECOND;
     /** A long answer that has begun is waited for so long past the end of a stop, unless the process is killed. */
     private static final long MOST_PAST_END = 60 * Clock.SECOND;
     private static final long LOOK_MS = 10;
@@ -277,16 +270,21 @@
         return counters.totals();
     }
 
-    /** Stops in order; the future is done when every request has been answered and every client is gone. */
+    /** Stops in order, as the only part of its process. */
     public Future<Void> stop() {
-        return stop(ACCEPT_ON_MS, endBy());
+        return stopBy(StopPlan.alone(Clock.now(), longestDeadline()));
     }
 
-    /** Has all that is open or still comes answered before the process may be killed; in nanoseconds from now. */
-    private long endBy() {
-        long end = longestDeadline() + GRANTED - LAST_WAY;
-        balancers.forEach(balancer -> balancer.endBy(Clock.now() + end));
-        return end;
+    /** Stops in order; the future is done when every request has been answered and every client is gone. */
+    public Future<Void> stopBy(StopPlan plan) {
+        serves = false;
+        balancers.forEach(balancer -> balancer.endBy(plan.answerBy()));
+        Promise<Void> done = loop.newPromise();
+        loop.schedule(() -> {
+            closeClients();
+            await(done, plan.answerBy());
+        }, plan.closeAt() - Clock.now(), TimeUnit.NANOSECONDS);
+        return done;
     }
 
     /**
@@ -294,27 +292,16 @@
      * behind an answer, as one that is closed at any other moment may cross a request. Those on which nothing is asked
      * go last.
      */
-    public Future<Void> leave() {
-        long end = endBy();
+    public Future<Void> leave(StopPlan plan) {
         server.part();
-        return stop(Math.min(PART_MS, end / Clock.MILLISECOND / 2), end);
+        return stopBy(plan);
     }
 
-    private long longestDeadline() {
+    /** The longest deadline of the classes in service, over all pools; in nanoseconds. */
+    public long longestDeadline() {
         return balancers.stream().mapToLong(Balancer::longestDeadline).max().orElse(0);
     }
 
-    private Future<Void> stop(long closeMs, long endNs) {
-        serves = false;
-        Promise<Void> done = loop.newPromise();
-        long end = Clock.now() + endNs;
-        loop.schedule(() -> {
-            closeClients();
-            await(done, end);
-        }, closeMs, TimeUnit.MILLISECONDS);
-        return done;
-    }
-
     /** Takes no more clients, and tells those that are idle to go. */
     void closeClients() {
         server.close();
--- a/src/test/java/eiderscale/ledger/Mutants.java
+++ b/src/test/java/eiderscale/ledger/Mutants.java
@@ -39,6 +39,8 @@
         LIST_NOT_KEPT,
         /** The end of the process does not bind. */
         ENDLESS,
+        /** The end of the process binds only what comes behind it was told. */
+        ENDLESS_IF_OPEN,
         /** A refusal is not counted. */
         NOT_COUNTED,
         /** A standstill is not noticed. */
@@ -148,9 +150,16 @@
             }
 
             @Override
-            public void endBy(long moment) {
+            public void endBy(long now, long moment) {
                 if (wrong != Wrong.ENDLESS) {
-                    super.endBy(moment);
+                    super.endBy(now, moment);
+                }
+            }
+
+            @Override
+            void endInTime(Exchange<W, C, L, A> exchange) {
+                if (wrong != Wrong.ENDLESS_IF_OPEN) {
+                    super.endInTime(exchange);
                 }
             }
 
