A request goes by the settings under which its class was chosen

What callers saw: a POST of an unsafe class whose body was coming at a reload that added a class was carried out at three hosts and refused as harmless. Joined reads were refused or never answered where their further fetch went out behind a reload; behind a retune that drops a class reads without room for their answer, and all behind them, were never answered.

Cause: the number of a class means something in one set of settings alone; the front chose it by the settings of the head, and ledger and fronts looked it up in the settings in service later.

The checker has a new event, a head whose rest comes later.

The checker finds the planted fault LATEST_SETTINGS.

--- a/src/main/java/eiderscale/check/Event.java
+++ b/src/main/java/eiderscale/check/Event.java
@@ -4,6 +4,8 @@
 public record Event(Kind kind, int at) {
     /** What happens, and the word for it; {@code fault}: it counts against the bound on faults. */
     public enum Kind {
+        /** The head of a request comes, by which its class is chosen; the rest is still to come. */
+        HEAD("the head of request %d comes", false),
         /** A client asks. */
         TAKE("request %d comes", false),
         /** A connection comes up, and what waits for it is written. */
@@ -42,7 +44,7 @@
         OUT("host %d is taken out", false),
         /** An operator puts a host back. */
         IN("host %d is put back", false),
-        /** Settings that allow one attempt, and make the safe class unsafe. */
+        /** Settings that allow one attempt, and have the numbers of the safe class and the unsafe one the other way round. */
         RENEW("other settings come", false),
         /** The process has stood still, and a host began to drain meanwhile. */
         STAND("the process stood still while host %d began to drain", false),
--- a/src/main/java/eiderscale/check/SmallWorld.java
+++ b/src/main/java/eiderscale/check/SmallWorld.java
@@ -90,7 +90,10 @@
     /** A request, and what has become of it. */
     public final class Asked implements Work {
         final int number;
-        final Effect effect;
+        /** Of its class at the start; its number is that of its class. */
+        private final Effect named;
+        /** The settings in service when its class was chosen; null before that. */
+        private Rules terms;
         Exchange<Asked, Asked, Carrier, Boolean> exchange;
         long takenAt;
         boolean taken;
@@ -98,9 +101,19 @@
         int answers;
         int runs;
 
-        Asked(int number, Effect effect) {
+        Asked(int number, Effect named) {
             this.number = number;
-            this.effect = effect;
+            this.named = named;
+        }
+
+        /** By the settings that it came under. */
+        Effect effect() {
+            return terms.settings().classes().get(requestClass()).effect();
+        }
+
+        @Override
+        public Rules terms() {
+            return terms;
         }
 
         boolean isOwed() {
@@ -114,7 +127,7 @@
 
         @Override
         public int requestClass() {
-            return effect.ordinal();
+            return named.ordinal();
         }
 
         @Override
@@ -144,7 +157,7 @@
 
         @Override
         public boolean write() {
-            return effect != Effect.RETRYABLE;
+            return effect() != Effect.RETRYABLE;
         }
 
         @Override
@@ -203,6 +216,8 @@
     private int lists;
     private int calls;
     private int renewals;
+    /** In service. */
+    private Rules rules;
     private int stands;
     private int heard;
     private long stoodAt;
@@ -226,7 +241,8 @@
         for (int i = 0; i < bounds.effects().size(); i++) {
             requests.add(new Asked(i, bounds.effects().get(i)));
         }
-        this.ledger = parts.ledger(new Rules(settings(ATTEMPTS, Effect.RETRYABLE)), parts::module, this, counts, maintenance);
+        this.rules = new Rules(settings(ATTEMPTS, false));
+        this.ledger = parts.ledger(rules, parts::module, this, counts, maintenance);
         List<Api.Server> all = new ArrayList<>();
         for (int i = 0; i < bounds.hosts(); i++) {
             listed[i] = State.READY;
@@ -239,10 +255,12 @@
                 new Learnt.Pressure(1, 1, now, 0, 0, 0), new Learnt.Latency(List.of(), List.of(), now, COPY_AFTER), List.of(), 0, false));
     }
 
-    private static Api.Settings settings(int attempts, Effect first) {
+    /** {@code areSwapped}: the number of the safe class is that of the unsafe one, and the other way round. */
+    private static Api.Settings settings(int attempts, boolean areSwapped) {
         List<Api.RequestClass> classes = new ArrayList<>();
         for (Effect effect : Effect.values()) {
-            Effect its = effect == Effect.RETRYABLE ? first : effect;
+            Effect other = effect == Effect.RETRYABLE ? Effect.FRAGILE : Effect.RETRYABLE;
+            Effect its = areSwapped && effect != Effect.DEDUP ? other : effect;
             classes.add(new Api.RequestClass(WAIT / 2, 0, WAIT, 1, 0.5, its, Api.Group.ALL, WINDOW, false, false));
         }
         return new Api.Settings(classes, List.of(), 0, 0, 1, false, -1, false, attempts, true, true, true, WAIT, GRACE, 10_000 * MS,
@@ -274,6 +292,9 @@
             // Requests come in their order: they differ in nothing else but their effects.
             if (!asked.taken && (asked.number == 0 || requests.get(asked.number - 1).taken)) {
                 next.add(new Event(Kind.TAKE, asked.number));
+                if (asked.terms == null && renewals < bounds.renewals()) {
+                    next.add(new Event(Kind.HEAD, asked.number));
+                }
             } else if (asked.isOwed() && mayFail) {
                 next.add(new Event(Kind.LEAVE, asked.number));
             }
@@ -407,8 +428,10 @@
         faults += event.kind().fault ? 1 : 0;
         int at = event.at();
         switch (event.kind()) {
+            case HEAD -> requests.get(at).terms = rules;
             case TAKE -> {
                 Asked asked = requests.get(at);
+                asked.terms = asked.terms == null ? rules : asked.terms;
                 asked.taken = true;
                 asked.takenAt = now;
                 asked.exchange = ledger.take(now, asked, asked);
@@ -457,7 +480,8 @@
             }
             case RENEW -> {
                 renewals++;
-                ledger.renew(now, new Rules(settings(1, Effect.FRAGILE)), 11);
+                rules = new Rules(settings(1, true));
+                ledger.renew(now, rules, 11);
             }
             case STOP -> {
                 stopped = true;
@@ -511,9 +535,9 @@
         }
         for (Carrier other : carriers) {
             if (other != carrier && other.asked == asked && other.mayRun()) {
-                if (asked.effect == Effect.FRAGILE || isUnsafeNow(asked)) {
+                if (asked.effect() == Effect.FRAGILE) {
                     breaks("unsafe request " + asked.number + " goes out again though it may have run");
-                } else if (asked.effect == Effect.DEDUP && now > other.sentAt + WINDOW) {
+                } else if (asked.effect() == Effect.DEDUP && now > other.sentAt + WINDOW) {
                     breaks("keyed request " + asked.number + " goes out again behind its window");
                 }
             }
@@ -521,15 +545,9 @@
         carrier.written = true;
     }
 
-    /** The safe class of this world becomes unsafe with other settings; requests that came before stay safe. */
-    private boolean isUnsafeNow(Asked asked) {
-        return asked.exchange != null && asked.exchange.terms().settings().classes().get(asked.requestClass()).effect()
-                == Effect.FRAGILE;
-    }
-
     private void run(Carrier carrier) {
         carrier.phase = carrier.abandoned ? Phase.OVER : Phase.RUNNING;
-        if (++carrier.asked.runs > 1 && (carrier.asked.effect == Effect.FRAGILE || isUnsafeNow(carrier.asked))) {
+        if (++carrier.asked.runs > 1 && carrier.asked.effect() == Effect.FRAGILE) {
             breaks("unsafe request " + carrier.asked.number + " runs twice");
         }
     }
@@ -693,8 +711,7 @@
     public void refused(Exchange<Asked, Asked, Carrier, Boolean> exchange, long wait) {
         Asked asked = exchange.client();
         answered(asked);
-        boolean unsafe = asked.effect == Effect.FRAGILE || exchange.terms().settings().classes().get(asked.requestClass()).effect()
-                == Effect.FRAGILE;
+        boolean unsafe = asked.effect() == Effect.FRAGILE;
         if (unsafe && carriers.stream().anyMatch(carrier -> carrier.asked == asked && carrier.mayRun())) {
             breaks("unsafe request " + asked.number + " is refused though it may have run");
         }
@@ -742,13 +759,22 @@
 
     // What a state is.
 
+    /** Whether they are none, those in service, or earlier ones. */
+    private int settingsOf(Terms terms) {
+        if (terms == null) {
+            return 0;
+        }
+        return terms == rules ? 1 : 2;
+    }
+
     /** Two worlds with one fingerprint go on alike, but for what a module draws by chance. */
     public long fingerprint() {
         Fingerprint print = new Fingerprint();
         print.add(now).add(faults).add(lists).add(calls).add(renewals).add(stoppedAt).add(ledger.size())
                 .add(stands).add(heard).add(asks ? 1 : 0).add(untold).add(stoodAt).add(ledger.waiting());
         for (Asked asked : requests) {
-            print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(Math.min(2, asked.runs));
+            print.add(asked.taken ? asked.takenAt : 0).add(asked.answers).add(asked.gone ? 1 : 0).add(settingsOf(asked.terms))
+                    .add(asked.exchange == null ? 0 : settingsOf(asked.exchange.terms())).add(Math.min(2, asked.runs));
         }
         // Which number an attempt has makes no difference to what becomes of it.
         List<Long> each = new ArrayList<>();
--- a/src/main/java/eiderscale/config/Site.java
+++ b/src/main/java/eiderscale/config/Site.java
@@ -1,6 +1,7 @@
 package eiderscale.config;
 
 import eiderscale.Api;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,6 +47,8 @@
     public final HttpRules http;
     private final String defaultTenant;
     private final Map<String, Integer> classes;
+    /** In the order of their numbers. */
+    private final String[] classNames;
     private final Map<String, Integer> tenants;
     private final Map<String, Integer> zones;
     private final Map<String, Integer> kinds;
@@ -102,6 +105,9 @@
         durable = List.copyOf(from.durable);
         defaultTenant = from.defaultTenant;
         classes = Map.copyOf(from.classes);
+        classNames = new String[settings.classes().size()];
+        Arrays.fill(classNames, "");
+        classes.forEach((name, number) -> classNames[number] = name);
         tenants = Map.copyOf(from.tenants);
         zones = new HashMap<>(from.zones);
         kinds = new HashMap<>(from.kinds);
@@ -121,8 +127,7 @@
 
     /** The name of a request class. */
     public String className(int requestClass) {
-        return classes.entrySet().stream().filter(one -> one.getValue() == requestClass).map(Map.Entry::getKey).findFirst()
-                .orElse("");
+        return classNames[requestClass];
     }
 
     /** The number of a request class, or null for a name that the settings do not hold. */
--- a/src/main/java/eiderscale/http/Fetches.java
+++ b/src/main/java/eiderscale/http/Fetches.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * The fetches that are under way for what may be stored, one for each target: others that want the same wait for it, each
@@ -31,21 +32,21 @@
     private HttpCache.Fetch unasked;
     private Origin unaskedOrigin;
 
-    /** {@code rules}: those at the start. */
-    Fetches(HttpFront front, JoinRules rules, EventLoop loop) {
+    /** {@code limits}: those in service. */
+    Fetches(HttpFront front, Supplier<JoinRules> limits, EventLoop loop) {
         this.front = front;
-        this.joins = new Joins<>(rules, loop, this, () -> { });
+        this.joins = new Joins<>(limits, loop, this, () -> { });
     }
 
     /** Gets what a request wants: by a fetch that is under way, or by one of its own. */
     void fetch(HttpCache.Fetch fetch, Turn turn, boolean mayJoin) {
         turn.wants(fetch);
-        JoinRules rules = turn.origin().core().site().joining;
+        JoinRules rules = turn.origin().snapshot().site().joining;
         if (!mayJoin || !fetch.method().equals("GET") || !rules.joins(turn.origin().route().requestClass())) {
             new Fetching(front, this, turn, turn.origin(), null).start(fetch, turn.deadline());
             return;
         }
-        Place<Turn> place = joins.at(rules).ask(Clock.now(), fetch.key(), ANY, turn, turn.origin().answerBy());
+        Place<Turn> place = joins.joining().ask(Clock.now(), fetch.key(), ANY, turn, turn.origin().answerBy());
         if (place != null) {
             turn.stands(place);
             joins.look();
@@ -99,7 +100,7 @@
     @Override
     public void joined(Turn waiter) {
         waiter.joins();
-        waiter.origin().core().joined(waiter.origin().tenant());
+        waiter.origin().core().joined(waiter.origin().snapshot(), waiter.origin().tenant());
     }
 
     @Override
@@ -109,7 +110,7 @@
 
     @Override
     public void unserved(Turn waiter, HttpAnswer last, long wait) {
-        waiter.unserved(last, waiter.origin().core().retryAfterMs(wait));
+        waiter.unserved(last, waiter.origin().snapshot().retryAfterMs(wait));
     }
 
     @Override
--- a/src/main/java/eiderscale/http/HttpCall.java
+++ b/src/main/java/eiderscale/http/HttpCall.java
@@ -5,6 +5,7 @@
 import eiderscale.http.cache.CacheKey;
 import eiderscale.http.cache.Fields;
 import eiderscale.net.Request;
+import eiderscale.net.Snapshot;
 import eiderscale.net.Upload;
 
 /**
@@ -22,13 +23,15 @@
     final byte[] body;
     final Upload upload;
     private final String id;
+    private final Snapshot snapshot;
     private final HttpRules.Route route;
     private final int tenant;
     private final long waitMs;
 
-    HttpCall(String id, HttpRules.Route route, int tenant, long waitMs, String method, CacheKey target, Fields fields,
-             byte[] body, Upload upload) {
+    HttpCall(String id, Snapshot snapshot, HttpRules.Route route, int tenant, long waitMs, String method, CacheKey target,
+             Fields fields, byte[] body, Upload upload) {
         this.id = id;
+        this.snapshot = snapshot;
         this.route = route;
         this.tenant = tenant;
         this.waitMs = waitMs;
@@ -54,6 +57,11 @@
         return id;
     }
 
+    @Override
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
     @Override
     public int requestClass() {
         return route.requestClass();
--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -304,7 +304,7 @@
     }
 
     HttpRules rules() {
-        return core(0).site().http;
+        return core(0).snapshot().site().http;
     }
 
     SocketChannel socket() {
@@ -312,6 +312,6 @@
     }
 
     long retryMs() {
-        return core(0).retryAfterMs(Clock.SECOND);
+        return core(0).snapshot().retryAfterMs(Clock.SECOND);
     }
 }
--- a/src/main/java/eiderscale/http/HttpFront.java
+++ b/src/main/java/eiderscale/http/HttpFront.java
@@ -41,7 +41,7 @@
     @Override
     public ClientConnection open(ClientServer server, SocketChannel channel) {
         if (fetches == null) {
-            fetches = new Fetches(this, server.core(0).site().joining, channel.eventLoop());
+            fetches = new Fetches(this, () -> server.core(0).snapshot().site().joining, channel.eventLoop());
         }
         return new HttpConnection(this, server, channel);
     }
--- a/src/main/java/eiderscale/http/Origin.java
+++ b/src/main/java/eiderscale/http/Origin.java
@@ -6,14 +6,16 @@
 import eiderscale.net.Client;
 import eiderscale.net.Clock;
 import eiderscale.net.Core;
+import eiderscale.net.Snapshot;
 import eiderscale.ledger.Taken;
 import eiderscale.net.Upload;
 
 /**
  * What a request is, however often the cache asks for it: where it goes, under which class, and until when its client
- * waits. {@code deadline}: on the program's clock, in nanoseconds.
+ * waits. {@code snapshot}: the settings of its pool at its head, whose numbers {@code route} and {@code tenant} hold;
+ * {@code deadline}: on the program's clock, in nanoseconds.
  */
-record Origin(HttpFront front, Core core, HttpRules.Route route, int tenant, CacheKey target, long deadline) {
+record Origin(HttpFront front, Core core, Snapshot snapshot, HttpRules.Route route, int tenant, CacheKey target, long deadline) {
     /** When its client must have an answer that is made here. */
     long answerBy() {
         return core.deadline(Math.max(0, (deadline - Clock.now()) / Clock.MILLISECOND));
@@ -21,7 +23,7 @@
 
     /** When a request of its class that comes now is given up on at the latest, however long its client may wait. */
     long longest() {
-        return Clock.now() + core.site().settings.classes().get(route.requestClass()).deadline();
+        return Clock.now() + snapshot.settings().classes().get(route.requestClass()).deadline();
     }
 
     /** Hands a request to the core; one without a body, that waits until then. */
@@ -36,7 +38,7 @@
 
     private Taken take(String method, Fields fields, byte[] body, Upload upload, long until, Client client) {
         long left = Math.max(0, (until - Clock.now()) / Clock.MILLISECOND);
-        return core.take(new HttpCall(core.ownId(), route, tenant, left, method, target, front.via(fields), body, upload),
+        return core.take(new HttpCall(core.ownId(), snapshot, route, tenant, left, method, target, front.via(fields), body, upload),
                 client);
     }
 }
--- a/src/main/java/eiderscale/http/Turn.java
+++ b/src/main/java/eiderscale/http/Turn.java
@@ -14,6 +14,8 @@
 import eiderscale.net.Answer;
 import eiderscale.net.Client;
 import eiderscale.net.Clock;
+import eiderscale.net.Core;
+import eiderscale.net.Snapshot;
 import eiderscale.ledger.Taken;
 import eiderscale.net.Upload;
 import io.netty.buffer.ByteBuf;
@@ -111,7 +113,9 @@
             unrouted(rules.methods(target.path()));
             return;
         }
-        Site site = connection.pool(route.pool()).site();
+        Core core = connection.pool(route.pool());
+        Snapshot snapshot = core.snapshot();
+        Site site = snapshot.site();
         String named = route.tenantField() == null ? route.tenant() : request.fields().first(route.tenantField());
         Integer tenant = site.tenant(named);
         if (tenant == null) {
@@ -127,7 +131,7 @@
         } else {
             connection.good();
             long deadline = Clock.now() + route.waitMs() * Clock.MILLISECOND;
-            origin = new Origin(front, connection.pool(route.pool()), route, tenant, target, deadline);
+            origin = new Origin(front, core, snapshot, route, tenant, target, deadline);
             sent = HttpHosts.passedOn(request.fields()).without(OWN_FIELDS::contains);
             awaitBody();
         }
@@ -315,7 +319,7 @@
     }
 
     private void refreshEarly(Stored stored) {
-        double early = origin.core().site().joining.early();
+        double early = origin.snapshot().site().joining.early();
         double left = stored.freshness().left(front.nowMs()) * (double) Clock.MILLISECOND;
         if (head.method().equals("GET") && left > 0
                 && EarlyRefresh.due(ThreadLocalRandom.current().nextDouble(), front.cost(), left, early)) {
--- a/src/main/java/eiderscale/lab/LabBalancer.java
+++ b/src/main/java/eiderscale/lab/LabBalancer.java
@@ -103,10 +103,19 @@
         Place<Asked> place;
         Flight<Long, Asked, Good> flight;
 
-        Asked(Call call, Call cause, long deadline) {
+        /** The settings that it came under. */
+        private final LabTerms terms;
+
+        Asked(Call call, Call cause, long deadline, LabTerms terms) {
             this.call = call;
             this.cause = cause;
             this.deadline = deadline;
+            this.terms = terms;
+        }
+
+        @Override
+        public LabTerms terms() {
+            return terms;
         }
 
         @Override
@@ -172,6 +181,8 @@
     final int zone;
     private final World world;
     private final Api.Settings settings;
+    /** In service. */
+    private LabTerms terms;
     private final JoinRules rules;
     private final Maintenance maintenance = new Maintenance();
     private final Ledger<Asked, Asked, Carrier, Good> ledger;
@@ -197,7 +208,8 @@
         this.rules = given.joining();
         this.settings = ranked(given.module(), number, zone, world.experiment.balancers());
         this.luck = world.luck.stream("network of balancer " + number);
-        this.ledger = new Ledger<>(new LabTerms(settings, settings.drainGrace()), world.luck.seedOf("module " + number), maker::create,
+        this.terms = new LabTerms(settings, settings.drainGrace());
+        this.ledger = new Ledger<>(terms, world.luck.seedOf("module " + number), maker::create,
                 this, new Counts(), new Budget(Long.MAX_VALUE), maintenance);
         this.wires = new HostLinks<>(given.plan().links(), Wire::close);
         this.joining = new Joining<>(new JoinLimits(rules.perKey(), rules.all(), rules.beyondAlone(), rules.longest(),
@@ -221,13 +233,14 @@
     /** Only what a module must not do is caught by the ledger too; without that an audit sees it. */
     void withoutGuards() {
         guards = false;
-        ledger.renew(world.now(), new LabTerms(settings, Long.MAX_VALUE / 4), world.luck.seedOf("module " + number));
+        terms = new LabTerms(settings, Long.MAX_VALUE / 4);
+        ledger.renew(world.now(), terms, world.luck.seedOf("module " + number));
     }
 
     /** New settings come, which differ in the attempts that they allow. */
     void renew(int attempts) {
-        ledger.renew(world.now(), new LabTerms(with(settings, number, zone, settings.instances(), attempts), settings.drainGrace()),
-                world.luck.seedOf("module " + number + " at " + world.now()));
+        terms = new LabTerms(with(settings, number, zone, settings.instances(), attempts), settings.drainGrace());
+        ledger.renew(world.now(), terms, world.luck.seedOf("module " + number + " at " + world.now()));
     }
 
     /** Does nothing until then: what comes waits. */
@@ -345,7 +358,7 @@
         }
         world.digest(1, call.id, number);
         world.trace(call, null, "comes to balancer " + number);
-        Asked asked = new Asked(call, call, call.deadline - WAYS);
+        Asked asked = new Asked(call, call, call.deadline - WAYS, terms);
         asked.wanted = world.auditor.accepted(call);
         world.measures.call(world.now());
         call.asked = asked;
@@ -713,7 +726,7 @@
     @Override
     public void fetch(Flight<Long, Asked, Good> flight, Asked cause, long deadline) {
         long most = world.now() + settings.classes().get(cause.cause.requestClass).deadline() - WAYS;
-        Asked fetch = new Asked(null, cause.cause, Math.min(deadline, most));
+        Asked fetch = new Asked(null, cause.cause, Math.min(deadline, most), cause.terms());
         fetch.flight = flight;
         fetches.put(flight, fetch);
         begin(fetch);
@@ -741,7 +754,7 @@
 
     @Override
     public void joined(Asked waiter) {
-        ledger.joined(world.now(), waiter.call.tenant);
+        ledger.joined(world.now(), waiter.terms(), waiter.call.tenant);
     }
 
     @Override
--- a/src/main/java/eiderscale/ledger/Ledger.java
+++ b/src/main/java/eiderscale/ledger/Ledger.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 /**
  * Stands between a driver (sockets, virtual time, a checker) and the decision module: open requests and their attempts, the
@@ -80,6 +81,8 @@
     private final SpentIds spentIds = new SpentIds();
     private int open;
     private final Queue<Event<W, C, L, A>> events = new ArrayDeque<>();
+    /** For modules that are begun anew under settings that were in service before. */
+    private final SplittableRandom seeds;
     private boolean inModule;
     long time;
     private long lastId;
@@ -111,10 +114,7 @@
         this.counts = counts;
         this.budget = budget;
         this.maintenance = maintenance;
-        begin(terms, seed);
-    }
-
-    private void begin(Terms terms, long seed) {
+        this.seeds = new SplittableRandom(seed);
         current = new Generation<>(this, terms, maker, seed);
         generations.add(current);
     }
@@ -162,9 +162,9 @@
         return waiting.size();
     }
 
-    /** The settings that new requests come under. */
-    public Terms terms() {
-        return current.terms;
+    /** How many settings have requests, counting those in service. */
+    public int generations() {
+        return generations.size();
     }
 
     /** The latest moment for the answer to a request that comes now and waits for so many nanoseconds. */
@@ -184,22 +184,24 @@
         long at = enter(now);
         long deadline = deadline(at, work.waitNs());
         long bodyDeadline = Math.min(endAt, deadline + (work.isBulk() ? UPLOAD : 0));
-        Exchange<W, C, L, A> exchange = new Exchange<>(++lastId, work, client, current, deadline, bodyDeadline);
+        Generation<W, C, L, A> generation = generationOf(work.terms());
+        Exchange<W, C, L, A> exchange = new Exchange<>(++lastId, work, client, generation, deadline, bodyDeadline);
         counts.taken++;
         // Running out of room is told to the client: a refusal of what never went out does no harm.
         if (open() >= current.terms.maxOpen() || !budget.take(work.heldBytes())) {
             counts.localRefusals++;
             answerRefused(exchange, 0);
+            dropIdle();
             return exchange;
         }
         exchanges.put(exchange.id, exchange);
-        current.exchanges++;
+        generation.exchanges++;
         open++;
         if (work.id() != null) {
             openIds.add(work.id());
         }
         actions.arm(exchange, deadline + LAST_CALL);
-        if (current.terms.isDurable(work.requestClass())) {
+        if (generation.terms.isDurable(work.requestClass())) {
             exchange.recorded = true;
             exchange.unsure = true;
             actions.record(exchange);
@@ -296,10 +298,13 @@
         }
     }
 
-    /** A request of a tenant waits for the answer to another one, and is not taken itself. */
-    public void joined(long now, int tenant) {
+    /** A request of a tenant waits for the answer to another one, and is not taken itself; {@code terms}: its settings. */
+    public void joined(long now, Terms terms, int tenant) {
         enter(now);
-        post(null, () -> current.module.onJoined(time, tenant));
+        Generation<W, C, L, A> generation = liveGeneration(terms);
+        if (generation != null) {
+            post(null, () -> generation.module.onJoined(time, tenant));
+        }
     }
 
     /**
@@ -503,9 +508,33 @@
      */
     public void renew(long now, Terms terms, long seed) {
         enter(now);
+        current = begin(terms, seed);
+        dropIdle();
+    }
+
+    /**
+     * What a request belongs to that came under some settings: those in service, such as have requests still, or a module begun
+     * anew where a reload came between the choice of its class and the moment in which it is taken.
+     */
+    Generation<W, C, L, A> generationOf(Terms terms) {
+        Generation<W, C, L, A> live = liveGeneration(terms);
+        return live != null ? live : begin(terms, seeds.nextLong());
+    }
+
+    private Generation<W, C, L, A> liveGeneration(Terms terms) {
+        for (Generation<W, C, L, A> generation : generations) {
+            if (generation.terms == terms) {
+                return generation;
+            }
+        }
+        return null;
+    }
+
+    /** Starts a module with what is known of the hosts, by lists and by the module in service. */
+    private Generation<W, C, L, A> begin(Terms terms, long seed) {
         Api.Events before = current.module;
-        begin(terms, seed);
-        Generation<W, C, L, A> made = current;
+        Generation<W, C, L, A> made = new Generation<>(this, terms, maker, seed);
+        generations.add(made);
         List<Server> listed = new ArrayList<>();
         for (Host host : hosts.values()) {
             if (host.named) {
@@ -520,7 +549,7 @@
                 made.module.recall(time, learnt);
             }
         });
-        dropIdle();
+        return made;
     }
 
     private void dropIdle() {
--- a/src/main/java/eiderscale/ledger/Work.java
+++ b/src/main/java/eiderscale/ledger/Work.java
@@ -2,13 +2,16 @@
 
 /** A request as the ledger needs it. What it says to hosts and clients is known to its protocol alone. */
 public interface Work {
+    /** The settings that it came under, as one object: the numbers of its class and its tenant are theirs. */
+    Terms terms();
+
     /** Hosts know it by this; no two open requests share one. Null where nobody tells requests apart by it. */
     String id();
 
-    /** The number of its class in the settings. */
+    /** The number of its class in its settings. */
     int requestClass();
 
-    /** The number of its tenant in the settings. */
+    /** The number of its tenant in its settings. */
     int tenant();
 
     /** What decides which hosts are first for it; the same on every balancer. */
--- a/src/main/java/eiderscale/meta/JoinedReads.java
+++ b/src/main/java/eiderscale/meta/JoinedReads.java
@@ -1,6 +1,5 @@
 package eiderscale.meta;
 
-import eiderscale.Api;
 import eiderscale.config.JoinRules;
 import eiderscale.joining.Flight;
 import eiderscale.joining.JoinActions;
@@ -16,6 +15,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * Reads of the meta protocol that wait for one another's fetches: one command goes to a host under an id of this
@@ -55,21 +55,22 @@
     /** Those that had an answer in this turn. */
     private final List<Waiter> served = new ArrayList<>();
 
-    JoinedReads(Core core, EventLoop loop) {
+    /** {@code limits}: those in service. */
+    JoinedReads(Core core, Supplier<JoinRules> limits, EventLoop loop) {
         this.core = core;
-        this.joins = new Joins<>(core.site().joining, loop, this, this::given);
+        this.joins = new Joins<>(limits, loop, this, this::given);
     }
 
-    /** Whether a command waits for others' fetches, by the settings in service. */
-    boolean joins(MetaCommand command) {
-        return !command.write && core.site().joining.joins(command.requestClass());
+    /** Whether a command waits for others' fetches, by its own settings. */
+    static boolean joins(MetaCommand command) {
+        return !command.write && command.snapshot().site().joining.joins(command.requestClass());
     }
 
     /** Takes a read in. Null if its word has been given; otherwise by this it leaves. */
     Place<Waiter> ask(MetaCommand command, Waiter waiter) {
-        JoinRules rules = core.site().joining;
-        return joins.at(rules).ask(Clock.now(), command.key, command.extra + ' ' + command.requestClass(), waiter,
-                core.deadline(command.waitMs()));
+        // By the name of its class, as its number is another's under other settings.
+        String variant = command.extra + ' ' + command.snapshot().site().className(command.requestClass());
+        return joins.joining().ask(Clock.now(), command.key, variant, waiter, core.deadline(command.waitMs()));
     }
 
     /** Gives what is due; behind {@link #ask}, once the waiter knows its place. */
@@ -94,9 +95,8 @@
     @Override
     public void fetch(Flight<String, Waiter, Shared> flight, Waiter cause, long deadline) {
         MetaCommand command = cause.command();
-        Api.RequestClass c = core.site().settings.classes().get(command.requestClass());
         // Not longer than the class lets any of its clients wait.
-        long wait = Math.min(deadline - Clock.now(), c.deadline()) / Clock.MILLISECOND;
+        long wait = Math.min(deadline - Clock.now(), command.classSettings().deadline()) / Clock.MILLISECOND;
         Fetch fetch = new Fetch(flight);
         open.put(flight, fetch);
         Taken taken = core.take(command.forAll(core.ownId(), wait), fetch);
@@ -113,7 +113,7 @@
 
     @Override
     public void joined(Waiter waiter) {
-        core.joined(waiter.command().tenant());
+        core.joined(waiter.command().snapshot(), waiter.command().tenant());
     }
 
     @Override
@@ -134,7 +134,7 @@
 
     @Override
     public void unserved(Waiter waiter, Shared last, long wait) {
-        waiter.refused(core.retryAfterMs(wait), null);
+        waiter.refused(waiter.command().snapshot().retryAfterMs(wait), null);
     }
 
     @Override
--- a/src/main/java/eiderscale/meta/MetaCommand.java
+++ b/src/main/java/eiderscale/meta/MetaCommand.java
@@ -6,6 +6,7 @@
 import eiderscale.Api;
 import eiderscale.net.Clock;
 import eiderscale.net.Request;
+import eiderscale.net.Snapshot;
 import eiderscale.net.Upload;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -45,6 +46,7 @@
     final Upload upload;
     /** Of the value. */
     private final int length;
+    private final Snapshot snapshot;
     private final int requestClass;
     private final int tenant;
     private final long waitMs;
@@ -62,10 +64,12 @@
     private int waitAt = -1;
 
     /**
-     * {@code own}: makes the id of a command whose client gave none. {@code body}: a value that is not held; or null.
+     * {@code snapshot}: the settings in service. {@code own}: makes the id of a command whose client gave none. {@code body}: a value that is not held; or null.
      * {@code waitedMs}: how long it may have waited here already, in milliseconds, which comes off its client's wait.
      */
-    MetaCommand(MetaFrame frame, Site site, Supplier<String> own, Upload body, long waitedMs) throws Malformed {
+    MetaCommand(MetaFrame frame, Snapshot snapshot, Supplier<String> own, Upload body, long waitedMs) throws Malformed {
+        this.snapshot = snapshot;
+        Site site = snapshot.site();
         write = frame.is(0, "ms");
         value = frame.data();
         upload = body;
@@ -147,6 +151,7 @@
         value = null;
         upload = null;
         length = 0;
+        snapshot = cause.snapshot;
         requestClass = cause.requestClass;
         tenant = cause.tenant;
         this.waitMs = waitMs;
@@ -221,6 +226,11 @@
         return opaque;
     }
 
+    @Override
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
     @Override
     public int requestClass() {
         return requestClass;
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -349,7 +349,7 @@
         }
         try {
             Upload body = frame.bulk() > 0 ? new Upload(frame.bulk(), front.uploads(), this::roomForBody) : null;
-            MetaCommand command = new MetaCommand(frame, core().site(), core()::ownId, body, slot.waitedMs);
+            MetaCommand command = new MetaCommand(frame, core().snapshot(), core()::ownId, body, slot.waitedMs);
             if (core().isOpen(command.id())) {
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
@@ -360,7 +360,7 @@
             }
             slot.isClaimed = isClaimed;
             if (!mayAskFor(command.tenant())) {
-                refuse(slot, core().retryAfterMs(PLACE_WAIT));
+                refuse(slot, command.snapshot().retryAfterMs(PLACE_WAIT));
                 return;
             }
             slot.command(command);
@@ -368,7 +368,7 @@
                 intake.belongsTo(slot);
             }
             JoinedReads joined = front.joined(core(), channel().eventLoop());
-            if (joined != null && joined.joins(command)) {
+            if (joined != null && JoinedReads.joins(command)) {
                 slot.joins(joined);
             } else {
                 if (joined != null && command.write) {
@@ -384,8 +384,7 @@
 
     /** Whether it must not run twice, nor a second time under its id. */
     private boolean isUnsafe(MetaCommand command) {
-        return front.hosts().knowsIds()
-                && core().site().settings.classes().get(command.requestClass()).effect() == Api.Effect.FRAGILE;
+        return front.hosts().knowsIds() && command.classSettings().effect() == Api.Effect.FRAGILE;
     }
 
     /** A command has its answer. Reads that come from here on must see what a write has done. */
--- a/src/main/java/eiderscale/meta/MetaFront.java
+++ b/src/main/java/eiderscale/meta/MetaFront.java
@@ -47,8 +47,8 @@
 
     /** Who waits for whom; null where the settings let no read wait and none has. */
     JoinedReads joined(Core core, EventLoop loop) {
-        if (joined == null && core.site().joining.any()) {
-            joined = new JoinedReads(core, loop);
+        if (joined == null && core.snapshot().site().joining.any()) {
+            joined = new JoinedReads(core, () -> core.snapshot().site().joining, loop);
         }
         return joined;
     }
--- a/src/main/java/eiderscale/meta/Slot.java
+++ b/src/main/java/eiderscale/meta/Slot.java
@@ -134,7 +134,7 @@
     }
 
     private boolean mayRepeat() {
-        return connection.pool().site().settings.classes().get(command.requestClass()).effect() == Api.Effect.RETRYABLE;
+        return command.classSettings().effect() == Api.Effect.RETRYABLE;
     }
 
     private void begin(MetaValue begun) {
--- a/src/main/java/eiderscale/net/Balancer.java
+++ b/src/main/java/eiderscale/net/Balancer.java
@@ -13,7 +13,6 @@
 import eiderscale.ledger.Ledger;
 import eiderscale.ledger.LedgerActions;
 import eiderscale.ledger.Taken;
-import eiderscale.ledger.Terms;
 import eiderscale.maintenance.Maintenance;
 import eiderscale.recovery.Heartbeat;
 import io.netty.channel.EventLoop;
@@ -34,29 +33,6 @@
     /** Begins the ids that balancers make up. */
     private static final char OWN_ID = '~';
 
-    /** A site's settings, as the ledger needs them. */
-    private record SiteTerms(Site site) implements Terms {
-        @Override
-        public Api.Settings settings() {
-            return site.settings;
-        }
-
-        @Override
-        public boolean isDurable(int requestClass) {
-            return site.isDurable(requestClass);
-        }
-
-        @Override
-        public int maxOpen() {
-            return site.maxOpen;
-        }
-
-        @Override
-        public long stallTime() {
-            return site.stallTime;
-        }
-    }
-
     private final Ledger<Request, Client, HostPool.Link, Answer> ledger;
     /** The hosts as the lists have told them. */
     private final Map<Long, Catalog.Member> members = new LinkedHashMap<>();
@@ -74,12 +50,14 @@
     /** It asks though nobody has watched yet. */
     private boolean returning;
     private String journalRun = "";
-    private Site site;
+    /** In service. */
+    private Snapshot snapshot;
     private long lastOwnId;
 
     Balancer(Config config, EventLoop loop, Counters counters, Ledger.Module module, Budget budget,
              HostProtocol protocol, int mostConnections, Maintenance maintenance) {
-        this.site = config.site();
+        Site site = config.site();
+        this.snapshot = new Snapshot(site);
         this.timers = new Timers(loop, counters, this::look);
         this.loop = loop;
         this.counters = counters;
@@ -87,7 +65,7 @@
         this.pool = new HostPool(site, loop, counters, protocol, mostConnections, this);
         this.discovery = new Discovery(config, loop, this);
         this.seeds = new SplittableRandom(config.seed());
-        this.ledger = new Ledger<>(new SiteTerms(site), config.seed(), module, this, counters.ledger, budget, maintenance);
+        this.ledger = new Ledger<>(snapshot, config.seed(), module, this, counters.ledger, budget, maintenance);
         onList(Api.ListMode.CACHED, config.known().members());
     }
 
@@ -123,8 +101,8 @@
     }
 
     @Override
-    public Site site() {
-        return site;
+    public Snapshot snapshot() {
+        return snapshot;
     }
 
     @Override
@@ -138,17 +116,8 @@
     }
 
     @Override
-    public void joined(int tenant) {
-        ledger.joined(Clock.now(), tenant);
-    }
-
-    @Override
-    public long retryAfterMs(long wait) {
-        return milliseconds(site.settings.retryAfter() ? Math.min(wait, site.settings.maxRetryAfter()) : 0);
-    }
-
-    private static long milliseconds(long wait) {
-        return (wait + Clock.MILLISECOND - 1) / Clock.MILLISECOND;
+    public void joined(Snapshot settings, int tenant) {
+        ledger.joined(Clock.now(), settings, tenant);
     }
 
     // Hosts, as lists and operators have them.
@@ -208,10 +177,10 @@
 
     /** Serves by other settings from here on. */
     void renew(Site fresh) {
-        site = fresh;
+        snapshot = new Snapshot(fresh);
         pool.renew(fresh);
         discovery.renew(fresh);
-        ledger.renew(Clock.now(), new SiteTerms(fresh), seeds.nextLong());
+        ledger.renew(Clock.now(), snapshot, seeds.nextLong());
     }
 
     /** The list as it was told last. */
@@ -253,7 +222,7 @@
     }
 
     String gauges() {
-        return "open " + open() + " ledger " + ledger.size() + (ledger.waiting() > 0 ? " waiting " + ledger.waiting() : "") + " timers " + timers.size() + " " + pool.gauges();
+        return "open " + open() + " ledger " + ledger.size() + (ledger.generations() > 1 ? " settings " + ledger.generations() : "") + (ledger.waiting() > 0 ? " waiting " + ledger.waiting() : "") + " timers " + timers.size() + " " + pool.gauges();
     }
 
     /** Closes what the pool holds idle for too long; called a few times a second. */
@@ -289,7 +258,7 @@
 
     @Override
     public void onAnswer(Attempt<Request, Client, HostPool.Link, Answer> attempt, Reason reason, Answer answer) {
-        Site its = ((SiteTerms) attempt.exchange().terms()).site();
+        Site its = attempt.exchange().work().snapshot().site();
         ledger.ended(Clock.now(), attempt, reason, answer, its.report(answer == null ? null : answer.loadReport()),
                 answer == null ? Api.Lookup.UNTOLD : answer.lookup());
     }
@@ -347,7 +316,7 @@
     @Override
     public void refused(Exchange<Request, Client, HostPool.Link, Answer> exchange, long wait) {
         log.unanswered(exchange, "refused");
-        exchange.client().refused(milliseconds(wait), exchange.last());
+        exchange.client().refused(Snapshot.milliseconds(wait), exchange.last());
     }
 
     @Override
@@ -393,7 +362,7 @@
             return;
         }
         Request work = exchange.work();
-        Site its = ((SiteTerms) exchange.terms()).site();
+        Site its = work.snapshot().site();
         byte[] entry = Entry.of(its.className(work.requestClass()), work.id(), work.label(), Clock.now());
         journal.enter(entryOf(exchange), entry, () -> loop.execute(() -> ledger.recorded(Clock.now(), exchange)),
                 () -> loop.execute(() -> ledger.unrecorded(Clock.now(), exchange)));
--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -73,7 +73,7 @@
 
         @Override
         public long stallTime() {
-            return server.core(0).site().stallTime;
+            return server.core(0).snapshot().stallTime();
         }
     }
 
--- a/src/main/java/eiderscale/net/Core.java
+++ b/src/main/java/eiderscale/net/Core.java
@@ -1,12 +1,11 @@
 package eiderscale.net;
 
-import eiderscale.config.Site;
 import eiderscale.ledger.Taken;
 
 /** What fronts see of the balancer. */
 public interface Core {
-    /** The settings that new requests come under. */
-    Site site();
+    /** The settings in service: for a request that comes now, and never on behalf of one that is open. */
+    Snapshot snapshot();
 
     /** An id for a request whose client gave none. */
     String ownId();
@@ -29,9 +28,6 @@
     /** The latest moment, on the program's clock, for the answer to a request that comes now and waits so long. */
     long deadline(long waitMs);
 
-    /** A request of a tenant waits for the answer to another one, and is not taken itself. */
-    void joined(int tenant);
-
-    /** So much of a wait, in nanoseconds, as a refused client may be told: in milliseconds, 0 for nothing. */
-    long retryAfterMs(long wait);
+    /** A request of a tenant waits for the answer to another one, and is not taken itself; {@code snapshot}: its settings. */
+    void joined(Snapshot snapshot, int tenant);
 }
--- a/src/main/java/eiderscale/net/Joins.java
+++ b/src/main/java/eiderscale/net/Joins.java
@@ -6,6 +6,7 @@
 import eiderscale.joining.Joining;
 import io.netty.channel.EventLoop;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 /**
  * Joining on the loop: the rules of the settings in service, and the alarm for what is due. A front asks through
@@ -18,11 +19,16 @@
 public final class Joins<K, W, A> {
     private final Joining<K, W, A> joining;
     private final Alarm alarm;
+    private final Supplier<JoinRules> inService;
     private JoinRules rules;
 
-    /** {@code rules}: those at the start; {@code given}: told when all words of a turn have been given. */
-    public Joins(JoinRules rules, EventLoop loop, JoinActions<K, W, A> actions, Runnable given) {
-        this.rules = rules;
+    /**
+     * {@code inService}: the rules whose limits bind all that wait, whatever settings each of them came under; {@code given}: told
+     * when all words of a turn have been given.
+     */
+    public Joins(Supplier<JoinRules> inService, EventLoop loop, JoinActions<K, W, A> actions, Runnable given) {
+        this.inService = inService;
+        this.rules = inService.get();
         this.joining = new Joining<>(limits(rules), new SplittableRandom(System.nanoTime()), actions);
         this.alarm = new Alarm(loop, now -> {
             try {
@@ -34,8 +40,9 @@
         });
     }
 
-    /** By the rules that are in service now. */
-    public Joining<K, W, A> at(JoinRules now) {
+    /** Goes by the limits that are in service now. */
+    public Joining<K, W, A> joining() {
+        JoinRules now = inService.get();
         if (now != rules) {
             rules = now;
             joining.renew(limits(now));
@@ -43,11 +50,6 @@
         return joining;
     }
 
-    /** By those that were in service last. */
-    public Joining<K, W, A> joining() {
-        return joining;
-    }
-
     /** Gives what is due. */
     public void look() {
         alarm.look();
--- a/src/main/java/eiderscale/net/Node.java
+++ b/src/main/java/eiderscale/net/Node.java
@@ -147,7 +147,7 @@
 
     /** The settings in service. */
     public Site site() {
-        return balancers.get(0).site();
+        return balancers.get(0).snapshot().site();
     }
 
     /** The list of hosts as it was told last; its version is negative where that counts for nothing. */
--- a/src/test/java/eiderscale/ArchitectureTest.java
+++ b/src/test/java/eiderscale/ArchitectureTest.java
@@ -113,6 +113,13 @@
             .resideInAnyPackage("eiderscale.http..", "com.github.benmanes..", "eiderscale.lab..", "org.apache.commons.rng..",
             "org.HdrHistogram..");
 
+    /** A request goes by the settings that it came under: those in service are asked for where it is taken, and for limits of all. */
+    @ArchTest
+    static final ArchRule FRONTS_ASK_FOR_THE_SETTINGS_IN_SERVICE_WHERE_A_REQUEST_IS_TAKEN = noClasses().that().resideInAnyPackage(
+            "eiderscale.meta", "eiderscale.http").and().doNotHaveSimpleName("MetaConnection").and().doNotHaveSimpleName("MetaFront")
+            .and().doNotHaveSimpleName("HttpConnection").and().doNotHaveSimpleName("HttpFront").and().doNotHaveSimpleName("Turn")
+            .should().callMethod("eiderscale.net.Core", "snapshot");
+
     /** The laboratory drives what decides, through the same interfaces as the sockets, and knows nothing of these. */
     @ArchTest
     static final ArchRule THE_LABORATORY_KNOWS_DECISIONS_ALONE = noClasses().that().resideInAPackage("eiderscale.lab").should()
--- a/src/test/java/eiderscale/check/CheckerTest.java
+++ b/src/test/java/eiderscale/check/CheckerTest.java
@@ -214,6 +214,8 @@
                 new Fault(Module.RIGHT, Wrong.DEAF_TO_OPERATORS, operators, "past its grace"),
                 new Fault(Module.SILENT, Wrong.ENDLESS, bounds(SAFE, 0, 0, 0, 0, true, false), "past the end of the process"),
                 new Fault(Module.SILENT, Wrong.ENDLESS_IF_OPEN, bounds(SAFE, 0, 0, 0, 0, true, false), "past the end of the process"),
+                new Fault(Module.RIGHT, Wrong.LATEST_SETTINGS, bounds(UNSAFE, 1, 0, 0, 1, false, false),
+                        "is refused though it may have run"),
                 new Fault(Module.RIGHT, Wrong.NOT_COUNTED, unsafe, "do not add up"),
                 new Fault(Module.FAILS_AS_REFUSED, Wrong.REFUSES_ANYTHING, unsafe, "is refused though it may have run"),
                 new Fault(Module.AGAIN_AT_ONCE, Wrong.NO_HINDRANCE, unsafe, "goes out again though it may have run"),
--- a/src/test/java/eiderscale/ledger/Mutants.java
+++ b/src/test/java/eiderscale/ledger/Mutants.java
@@ -41,6 +41,8 @@
         ENDLESS,
         /** The end of the process binds only what comes behind it was told. */
         ENDLESS_IF_OPEN,
+        /** A request goes by the settings in service when it is taken, whatever it came under. */
+        LATEST_SETTINGS,
         /** A refusal is not counted. */
         NOT_COUNTED,
         /** A standstill is not noticed. */
@@ -55,6 +57,8 @@
     public static <W extends Work, C, L, A> Ledger<W, C, L, A> of(Wrong wrong, Terms terms, Ledger.Module module,
             LedgerActions<W, C, L, A> actions, Counts counts, Maintenance maintenance) {
         return new Ledger<>(terms, 7, module, actions, counts, new Budget(Long.MAX_VALUE), maintenance) {
+            private Terms inService = terms;
+
             @Override
             public Reason hindrance(long now, Attempt<W, C, L, A> attempt) {
                 return wrong == Wrong.NO_HINDRANCE ? null : super.hindrance(now, attempt);
@@ -138,7 +142,7 @@
                 }
                 super.leave(id, host);
                 if (wrong == Wrong.GRACE_TWICE) {
-                    host.sendUntil = Math.max(host.sendUntil, time + 2 * terms().drainGrace());
+                    host.sendUntil = Math.max(host.sendUntil, time + 2 * terms.drainGrace());
                 }
             }
 
@@ -149,6 +153,17 @@
                 }
             }
 
+            @Override
+            Generation<W, C, L, A> generationOf(Terms its) {
+                return wrong == Wrong.LATEST_SETTINGS ? super.generationOf(inService) : super.generationOf(its);
+            }
+
+            @Override
+            public void renew(long now, Terms its, long seed) {
+                inService = its;
+                super.renew(now, its, seed);
+            }
+
             @Override
             public void endBy(long now, long moment) {
                 if (wrong != Wrong.ENDLESS) {
--- a/src/test/java/eiderscale/net/SocketWantTest.java
+++ b/src/test/java/eiderscale/net/SocketWantTest.java
@@ -14,7 +14,6 @@
 import eiderscale.ledger.Exchange;
 import eiderscale.ledger.Ledger;
 import eiderscale.ledger.LedgerActions;
-import eiderscale.ledger.Terms;
 import eiderscale.maintenance.Maintenance;
 import eiderscale.meta.MetaProtocol;
 import io.netty.channel.ChannelException;
@@ -32,7 +31,7 @@
     private static final long HOST = Catalog.hash("s-0");
 
     /** A request of which nothing but its class matters. */
-    private static final class Asked implements Request {
+    private record Asked(Snapshot snapshot) implements Request {
         @Override
         public long waitMs() {
             return 5_000;
@@ -176,23 +175,6 @@
         }
     }
 
-    private record Always(Site site) implements Terms {
-        @Override
-        public Api.Settings settings() {
-            return site.settings;
-        }
-
-        @Override
-        public int maxOpen() {
-            return 10;
-        }
-
-        @Override
-        public long stallTime() {
-            return Clock.SECOND;
-        }
-    }
-
     /** Guards against lost requests: one loop owns the state, and what another thread tells it may get lost. */
     @Test
     void anAttemptWithoutASocketEndsOnTheLoop() throws Exception {
@@ -200,12 +182,13 @@
         try (Rig rig = new Rig()) {
             EventLoop loop = group.next();
             Site site = rig.site();
+            Snapshot snapshot = new Snapshot(site);
             Driver driver = new Driver(loop);
             loop.submit(() -> {
                 driver.pool = new HostPool(site, loop, new Counters(), new MetaProtocol(site.hostKind).hosts(), 10, driver, () -> {
                     throw new ChannelException("no buffer space available");
                 });
-                Ledger<Request, Client, HostPool.Link, Answer> ledger = new Ledger<>(new Always(site), 1,
+                Ledger<Request, Client, HostPool.Link, Answer> ledger = new Ledger<>(snapshot, 1,
                         (settings, seed, actions) -> new Scripted(actions) {
                             @Override
                             public void onRequest(long now, Api.Request request) {
@@ -216,7 +199,7 @@
                         + Rig.target("s-0", "127.0.0.1:9", "Ready") + "]}").getBytes(StandardCharsets.UTF_8)), site);
                 driver.pool.update(Api.ListMode.FULL, list.members());
                 ledger.onList(Clock.now(), Api.ListMode.FULL, list.members().stream().map(Catalog.Member::server).toList());
-                ledger.take(Clock.now(), new Asked(), null);
+                ledger.take(Clock.now(), new Asked(snapshot), null);
             }).get();
             assertEquals("CONNECT_FAILED on the loop", driver.ends.poll(Peer.LIMIT_MS, TimeUnit.MILLISECONDS));
         } finally {
--- a/src/test/java/eiderscale/platform/RetuneTest.java
+++ b/src/test/java/eiderscale/platform/RetuneTest.java
@@ -1,18 +1,25 @@
 package eiderscale.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import eiderscale.config.Config;
 import eiderscale.config.ConfigException;
 import eiderscale.platform.Programs.Program;
+import java.io.BufferedInputStream;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -66,6 +73,80 @@
         }
     }
 
+    /** Answers after a while, those whose key says so later. */
+    private static final class Slow extends Programs.Host {
+        private final AtomicInteger reads;
+
+        Slow(String name, AtomicInteger reads) throws IOException {
+            super(name);
+            this.reads = reads;
+        }
+
+        @Override
+        void answer(String line, String id, InputStream in, Socket socket) throws IOException {
+            reads.incrementAndGet();
+            try {
+                TimeUnit.MILLISECONDS.sleep(line.startsWith("mg slow") ? 1_800 : 900);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            super.answer(line, id, in, socket);
+        }
+    }
+
+    private static String listClass(String name) {
+        return LIST.replace("\"list\"", "\"" + name + "\"").replace("700000000", "2300000000").replace("800000000", "2400000000");
+    }
+
+    /**
+     * Guards against lost requests: an answer without room asked the settings in service for the class of a request that came under
+     * earlier ones; where they had no such class neither it nor anything behind it on its connection was answered.
+     */
+    @Test
+    void answersWithoutRoomGoByTheirOwnClass() throws Exception {
+        int clients = 4;
+        int reads = 60;
+        AtomicInteger came = new AtomicInteger();
+        try (Programs programs = new Programs(folder, new Slow("s-a", came), new Slow("s-b", came))) {
+            programs.settings = Programs.settings(listClass("dropped") + listClass("list"));
+            Program program = programs.start().awaitHealth();
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                StringBuilder all = new StringBuilder("mg slow" + i + " v O" + i + "x0 Pc=list,t=t,d=2400\r\n");
+                for (int j = 1; j < reads; j++) {
+                    all.append("mg bulk61440x").append(i * reads + j).append(" v O").append(i).append('x').append(j).append(" Pc=list,t=t,d=2400\r\n");
+                }
+                sockets.add(programs.client());
+                sockets.get(i).getOutputStream().write(all.toString().getBytes(StandardCharsets.US_ASCII));
+            }
+            TimeUnit.MILLISECONDS.sleep(400);
+            assertTrue(came.get() > clients * reads / 2, came + " reads are at hosts");
+            programs.settings = Programs.settings(listClass("list"));
+            Files.writeString(programs.config, programs.json());
+            program.hangUp();
+            program.awaitLine("3 classes");
+            int busy = 0;
+            for (Socket socket : sockets) {
+                // Half a second past their time they are lost, and the first look is 0.4 s behind the command.
+                socket.setSoTimeout(2_400 + 550);
+                InputStream in = new BufferedInputStream(socket.getInputStream());
+                for (int j = 0; j < reads; j++) {
+                    String line = Programs.line(in);
+                    assertNotNull(line, "answer " + j + ": " + program.child.log());
+                    if (line.startsWith("VA ")) {
+                        in.skipNBytes(Integer.parseInt(line.split(" ")[1]) + 2L);
+                    } else {
+                        assertTrue(line.startsWith("SERVER_ERROR busy"), line);
+                        busy++;
+                    }
+                }
+                socket.close();
+            }
+            assertTrue(busy > 0, "some found no room");
+            assertEquals(0, program.stop());
+        }
+    }
+
     private String good() throws IOException {
         try (Programs programs = new Programs(folder, 1)) {
             programs.settings = Programs.settings(LIST);
