Answers go to a client's socket in pieces of a worthwhile size

What callers saw: beside three clients that send 900 GETs each of a stored response of 1 MB at once, requests of other clients had no answer in time.

Cause: whatever room a piece left in the socket's queue was filled by one of its size, and each end of an answer cut one in two (silly window syndrome, RFC 1122, section 4.2.3.4).

Change: room of less than half of the queue is left to grow. The counts tell the bytes and pieces that were handed to clients' sockets, by which the hypotheses could be told apart.

--- a/src/main/java/eiderscale/net/ClientConnection.java
+++ b/src/main/java/eiderscale/net/ClientConnection.java
@@ -63,6 +63,12 @@
             server.unsent(bytes);
         }
 
+        @Override
+        public void onPiece(int bytes) {
+            server.counters().outputBytes += bytes;
+            server.counters().outputPieces++;
+        }
+
         @Override
         public void onStall() {
             server.counters().stalled++;
--- a/src/main/java/eiderscale/net/ClientOutput.java
+++ b/src/main/java/eiderscale/net/ClientOutput.java
@@ -20,6 +20,9 @@
         /** So many bytes more, or fewer, wait. */
         void onChange(int bytes);
 
+        /** A piece of so many bytes is handed to the socket. */
+        void onPiece(int bytes);
+
         /** The client has taken nothing for the time that it may. */
         void onStall();
 
@@ -29,6 +32,8 @@
 
     /** Bytes that the socket's own queue holds at most. */
     private static final int WINDOW_BYTES = 16 * 1024;
+    /** Less room than this is left to grow: filling whatever room there is leads to ever smaller pieces (RFC 1122, 4.2.3.4). */
+    private static final int LEAST_ROOM_BYTES = WINDOW_BYTES / 2;
     /** From so many waiting bytes on the client is behind, until no more than the lower mark wait. */
     private static final int HIGH_MARK_BYTES = 128 * 1024;
     private static final int LOW_MARK_BYTES = 32 * 1024;
@@ -99,8 +104,11 @@
         }
     }
 
-    /** Fills the socket's queue; false if nothing was added to it. */
+    /** Fills the socket's queue once there is room worth filling; false if nothing was added to it. */
     private boolean passOn() {
+        if (WINDOW_BYTES - inSocket < LEAST_ROOM_BYTES) {
+            return false;
+        }
         boolean some = false;
         while (!closed && inSocket < WINDOW_BYTES && parts != null && !parts.isEmpty()) {
             pass(parts.peek());
@@ -116,6 +124,7 @@
             parts.remove();
         }
         inSocket += size;
+        listener.onPiece(size);
         ByteBuf piece = isLast ? part.bytes : part.bytes.readRetainedSlice(size);
         channel.write(piece).addListener(done -> taken(size, isLast ? part.onTaken : null));
     }
--- a/src/main/java/eiderscale/net/Counters.java
+++ b/src/main/java/eiderscale/net/Counters.java
@@ -33,6 +33,9 @@
     long stalled;
     /** Answers for which there was no memory to wait in. */
     long unheld;
+    /** What was handed to clients' sockets, and in how many pieces: small ones cost as much as large ones. */
+    long outputBytes;
+    long outputPieces;
     /** Answers that came on connections to hosts on which nothing was asked, and such that were for another request. */
     long unsolicited;
     long mismatched;
@@ -43,9 +46,10 @@
     void print(String gauges) {
         StringBuilder line = new StringBuilder(String.format(Locale.ROOT,
                 "taken %d served %d refused %d failed %d gone %d departed %d malformed %d last-calls %d | connects %d"
-                + " tables-full %d local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d stalled %d unheld %d | timers %d late %d worst %.1f ms |", ledger.taken(), ledger.served(), ledger.refused(),
+                + " tables-full %d local-refusals %d | evicted %d eased %d timed-out %d retired %d turned-away %d stalled %d unheld %d output %d in %d pieces | timers %d late %d worst %.1f ms |", ledger.taken(), ledger.served(), ledger.refused(),
                 ledger.failed(), ledger.clientsGone(), departed, malformed, ledger.lastCalls(), connects, tablesFull,
-                ledger.localRefusals(), evicted, eased, timedOut, retired, turnedAway, stalled, unheld, ledger.timers(), ledger.lateTimers(),
+                ledger.localRefusals(), evicted, eased, timedOut, retired, turnedAway, stalled, unheld, outputBytes,
+                outputPieces, ledger.timers(), ledger.lateTimers(),
                 ledger.takeLatest() / 1e6));
         for (Reason reason : Reason.values()) {
             if (ledger.outcomes(reason) > 0) {
