One client's answers take a bounded part of a turn of the loop

Cause: ClientOutput passed on for as long as the socket took more. A client that keeps up with the loop, as any does on the same machine, got all that waited for it in one turn, whatever others had to do.

Change: 256 KB are passed on in one go; the rest follows behind what others have to do.

Measured: ClientOutputTest.oneClientGetsABoundedAmountInOneTurn: 30,090,900 bytes in one turn before, at most 512 KB now (the test's bound: one go and one event of the socket). PipelinedHitsTest green.

--- a/src/main/java/eiderscale/net/ClientOutput.java
+++ b/src/main/java/eiderscale/net/ClientOutput.java
@@ -34,6 +34,8 @@
     private static final int WINDOW_BYTES = 16 * 1024;
     /** Less room than this is left to grow: filling whatever room there is leads to ever smaller pieces (RFC 1122, 4.2.3.4). */
     private static final int LEAST_ROOM_BYTES = WINDOW_BYTES / 2;
+    /** Bytes that are passed on in one go; others have their turn before the rest. */
+    private static final int MOST_AT_ONCE_BYTES = 256 * 1024;
     /** From so many waiting bytes on the client is behind, until no more than the lower mark wait. */
     private static final int HIGH_MARK_BYTES = 128 * 1024;
     private static final int LOW_MARK_BYTES = 32 * 1024;
@@ -48,8 +50,11 @@
     private Deque<Part> parts;
     private int waiting;
     private int inSocket;
+    /** Bytes that were passed on since others had their turn. */
+    private int passedOn;
     private boolean behind;
     private boolean flushing;
+    private boolean resting;
     private boolean watched;
     private boolean closed;
     private long takenAt;
@@ -93,10 +98,13 @@
             return;
         }
         flushing = true;
-        while (!closed && passOn()) {
+        while (!closed && passedOn < MOST_AT_ONCE_BYTES && passOn()) {
             channel.flush();
         }
         flushing = false;
+        if (passedOn >= MOST_AT_ONCE_BYTES) {
+            rest();
+        }
         if (waiting > 0) {
             watch();
         } else {
@@ -104,6 +112,23 @@
         }
     }
 
+    /** Goes on behind what others have to do. */
+    private void rest() {
+        if (!resting) {
+            resting = true;
+            channel.eventLoop().execute(this::goOn);
+        }
+    }
+
+    private void goOn() {
+        resting = false;
+        passedOn = 0;
+        if (!closed) {
+            flush();
+            listener.onTaken();
+        }
+    }
+
     /** Fills the socket's queue once there is room worth filling; false if nothing was added to it. */
     private boolean passOn() {
         if (WINDOW_BYTES - inSocket < LEAST_ROOM_BYTES) {
@@ -124,6 +149,7 @@
             parts.remove();
         }
         inSocket += size;
+        passedOn += size;
         listener.onPiece(size);
         ByteBuf piece = isLast ? part.bytes : part.bytes.readRetainedSlice(size);
         channel.write(piece).addListener(done -> taken(size, isLast ? part.onTaken : null));
--- a/src/test/java/eiderscale/net/ClientOutputTest.java
+++ b/src/test/java/eiderscale/net/ClientOutputTest.java
@@ -17,8 +17,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -123,4 +125,42 @@
             }).sync();
         });
     }
+
+    /** Guards against a loop that stands still: a client that reads at full speed had all that waited for it passed on in one turn. */
+    @Test
+    void oneClientGetsABoundedAmountInOneTurn() throws Exception {
+        connected((channel, client) -> {
+            Thread reader = new Thread(() -> {
+                try {
+                    client.getInputStream().readNBytes((int) BYTES);
+                } catch (java.io.IOException e) {
+                    // The test is over.
+                }
+            });
+            reader.start();
+            Pieces pieces = new Pieces();
+            CountDownLatch over = new CountDownLatch(1);
+            List<Long> turns = new ArrayList<>();
+            group.next().submit(() -> {
+                ClientOutput output = new ClientOutput(channel, pieces);
+                writeAnswers(output);
+                output.flush();
+                noteTurn(pieces, turns, over);
+            }).sync();
+            assertTrue(over.await(Peer.LIMIT_MS, TimeUnit.MILLISECONDS));
+            reader.join(Peer.LIMIT_MS);
+            long most = turns.stream().mapToLong(Long::longValue).max().orElseThrow();
+            assertTrue(most <= 512 * 1024, most + " bytes in one turn");
+        });
+    }
+
+    private void noteTurn(Pieces pieces, List<Long> turns, CountDownLatch over) {
+        turns.add(pieces.sum());
+        pieces.sizes.clear();
+        if (pieces.waiting == 0) {
+            over.countDown();
+        } else {
+            group.next().execute(() -> noteTurn(pieces, turns, over));
+        }
+    }
 }
