Over HTTP a request waits while its client is behind with its answers

What callers saw: pipelined requests took memory and time from others however little of their answers their client had taken.

Cause: HttpConnection took the next request in as soon as the answer to the one before was written; that 128 KB waited held back reading alone.

Change: the next request is taken in when the client is no longer behind, as over the meta protocol.

--- a/src/main/java/eiderscale/http/HttpConnection.java
+++ b/src/main/java/eiderscale/http/HttpConnection.java
@@ -111,9 +111,9 @@
         }
     }
 
-    /** A further request waits for the answer to the one before; its body waits until its host takes more. */
+    /** A further request waits for the answer to the one before, and for its client to take it; its body waits until its host takes more. */
     private boolean mayParse() {
-        return !isGone() && !isQuitting() && (turn == null ? !rests() : inBody && turn.wantsBody());
+        return !isGone() && !isQuitting() && (turn == null ? isWritable() && !rests() : inBody && turn.wantsBody());
     }
 
     private boolean rests() {
--- a/src/test/java/eiderscale/sidecar/PipelinedHitsTest.java
+++ b/src/test/java/eiderscale/sidecar/PipelinedHitsTest.java
@@ -28,6 +28,9 @@
     private static final int GETS = 900;
     private static final int BODY_BYTES = 1_000_000;
     private static final int OTHERS = 5;
+    /** From so many waiting bytes on a client is behind, and gets one answer more at most. */
+    private static final int HIGH_MARK_BYTES = 128 * 1024;
+    private static final int HEAD_BYTES = 1024;
     private static final int DEADLINE_MS = 500;
     /** An answer is lost half a second behind its time, and each limit is 50 ms longer. */
     private static final int LOST_MS = DEADLINE_MS + 550;
@@ -67,20 +70,24 @@
         return worstMs;
     }
 
+    private static void startWithAStoredResponse(HttpFleet fleet) throws Exception {
+        fleet.start(fleet.base().replace("2500ms", DEADLINE_MS + "ms").replace("750ms", "300ms").replace("listen = [\"127.0.0.1:0\"]\npurge",
+                "listen = [\"127.0.0.1:0\"]\ncache = \"64MB\"\nlargest-object = \"2MB\"\npurge"));
+        String body = "v".repeat(BODY_BYTES);
+        fleet.script(request -> request.target().equals("/hot") ? Reply.of(200, "cache-control: max-age=300\r\n", body)
+                : Reply.of(200, "cache-control: no-store\r\n", "short"));
+        try (Web first = fleet.client()) {
+            first.get("/hot");
+            assertTrue(first.get("/hot").field("cache-status").contains("hit"));
+        }
+    }
+
     /** Guards against lost requests: their answers went out in ever smaller pieces, until nobody else was answered in time. */
     @Test
     void othersAreAnsweredInTimeBesidePipelinedHits() throws Exception {
         ExecutorService threads = Executors.newCachedThreadPool();
         try (HttpFleet fleet = new HttpFleet(folder)) {
-            fleet.start(fleet.base().replace("2500ms", DEADLINE_MS + "ms").replace("750ms", "300ms").replace("listen = [\"127.0.0.1:0\"]\npurge",
-                    "listen = [\"127.0.0.1:0\"]\ncache = \"64MB\"\nlargest-object = \"2MB\"\npurge"));
-            String body = "v".repeat(BODY_BYTES);
-            fleet.script(request -> request.target().equals("/hot") ? Reply.of(200, "cache-control: max-age=300\r\n", body)
-                    : Reply.of(200, "cache-control: no-store\r\n", "short"));
-            try (Web first = fleet.client()) {
-                first.get("/hot");
-                assertTrue(first.get("/hot").field("cache-status").contains("hit"));
-            }
+            startWithAStoredResponse(fleet);
             AtomicBoolean over = new AtomicBoolean();
             List<Future<Long>> others = new ArrayList<>();
             for (int i = 0; i < OTHERS; i++) {
@@ -103,4 +110,31 @@
             threads.shutdownNow();
         }
     }
+
+    /** Guards against memory and time that one peer takes: its requests were taken in however much of their answers it had yet to take. */
+    @Test
+    void requestsWaitWhileTheirClientIsBehind() throws Exception {
+        try (HttpFleet fleet = new HttpFleet(folder)) {
+            startWithAStoredResponse(fleet);
+            try (Web client = fleet.client()) {
+                client.send(Web.head("GET", "/hot").repeat(GETS));
+                long most = 0;
+                for (int i = 0; i < 100; i++) {
+                    TimeUnit.MILLISECONDS.sleep(5);
+                    most = Math.max(most, unsent(fleet));
+                }
+                assertTrue(most > 0, "some waits");
+                assertTrue(most <= HIGH_MARK_BYTES + BODY_BYTES + HEAD_BYTES, most + " bytes wait");
+                for (int i = 0; i < GETS; i++) {
+                    Page page = client.page("GET");
+                    assertEquals(BODY_BYTES, page.body().length(), "answer " + i);
+                }
+            }
+        }
+    }
+
+    private static long unsent(HttpFleet fleet) throws Exception {
+        String gauges = fleet.sidecar.gauges();
+        return Long.parseLong(gauges.replaceAll("(?s).* unsent (\\d+).*", "$1"));
+    }
 }
