A test of long writes asks the host whether the last byte has left

Seen: LongWriteDeadlineTest failed in two of its five tests in a whole suite and in 3 of 3 runs alone: SERVER_ERROR failed where it wants busy.

Cause: the test took for granted that the system takes less than 4 MiB for a host that does not read. It takes up to tcp_wmem (4 MB here) and what the host's side holds, by what it remembers of earlier connections to the address; behind much traffic on loopback all of the write has left, may have run, and fails as it should.

Change: the host reads on behind the answer and counts: the answer is failed exactly if all of the write has left, else busy. That is stricter, as it holds the answer against what left in both cases; the bound on time stays.

--- a/src/test/java/eiderscale/platform/LongWriteDeadlineTest.java
+++ b/src/test/java/eiderscale/platform/LongWriteDeadlineTest.java
@@ -11,6 +11,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,9 +30,13 @@
     @TempDir
     Path folder;
 
-    /** Reads a write's value by and by, or not at all. */
+    /** Reads a write's value by and by, or not at all; behind its client's answer all that has left for it. */
     private static final class Reluctant extends Host {
+        private static final int VALUE_AND_END_BYTES = LENGTH + 2;
+
         private final int pieceBytes;
+        private final CountDownLatch answered = new CountDownLatch(1);
+        private final CompletableFuture<Integer> left = new CompletableFuture<>();
 
         Reluctant(String name, int pieceBytes) throws IOException {
             super(name);
@@ -39,17 +45,25 @@
 
         @Override
         void answer(String line, String id, InputStream in, Socket socket) throws IOException {
+            if (!line.startsWith("ms")) {
+                super.answer(line, id, in, socket);
+                return;
+            }
             try {
-                while (line.startsWith("ms")) {
-                    Thread.sleep(100);
-                    if (in.readNBytes(pieceBytes).length < pieceBytes) {
-                        throw new IOException("given up");
-                    }
+                int read = 0;
+                while (!answered.await(100, TimeUnit.MILLISECONDS)) {
+                    read += in.readNBytes(pieceBytes).length;
                 }
+                left.complete(read + in.readNBytes(VALUE_AND_END_BYTES - read).length);
             } catch (InterruptedException e) {
                 throw new IOException(e);
             }
-            super.answer(line, id, in, socket);
+        }
+
+        /** Whether the last byte of the write has left for it, so that it may have run. To be asked behind the client's answer. */
+        boolean hasLeft() throws Exception {
+            answered.countDown();
+            return left.get(Programs.LIMIT_MS, TimeUnit.MILLISECONDS) == VALUE_AND_END_BYTES;
         }
     }
 
@@ -69,7 +83,7 @@
         return programs;
     }
 
-    private void isAnsweredInTime(Host host) throws Exception {
+    private void isAnsweredInTime(Reluctant host) throws Exception {
         try (Programs programs = programs(host)) {
             Program program = programs.start().awaitHealth();
             try (Socket client = programs.client()) {
@@ -79,8 +93,10 @@
                 long written = System.nanoTime();
                 String answer = Programs.line(client.getInputStream());
                 long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - written);
-                assertTrue(answer.startsWith("SERVER_ERROR busy"), "its last byte never left, so that it has not run: " + answer);
                 assertTrue(tookMs <= LOST_MS, "answered after " + tookMs + " ms");
+                // How much of 4 MiB the system takes for a host that does not read is the system's own choice.
+                String word = host.hasLeft() ? "SERVER_ERROR failed" : "SERVER_ERROR busy";
+                assertTrue(answer.startsWith(word), answer + " in place of " + word);
             }
             assertEquals(0, program.stop());
         }
