Upgrades in a row have one order, and no process serves untold

What callers saw: unsafe ids that were open at the second of three processes, and whose clients had left, ran once more at the third, which started while the first still drained. Where a claim on an id could not be made both processes of an upgrade carried it out.

Cause: a third process found both places taken and took that for being alone; one that got no answer in 1.5 s served beside the one that was silent; a claim that failed counted as granted.

Change: the successor's place is everybody's way in and is kept until the first one's is free, so that a third process waits, unready. A process that follows serves when it has been told or the other has ended. The first gives up its place when all that it had is answered. Claims of earlier processes are kept. IdClaims tells granted, taken and unknown apart; what is unknown is refused. A folder without locks gives no place, and no shared address.

--- a/src/main/java/eiderscale/handover/Duty.java
+++ b/src/main/java/eiderscale/handover/Duty.java
@@ -17,6 +17,7 @@
 import io.netty.util.concurrent.Promise;
 import io.netty.util.concurrent.PromiseCombiner;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -26,7 +27,7 @@
  * successor is told what this one knows, and it leaves as it should where there is one. On the loop, but for its start.
  */
 public final class Duty implements Operators {
-    /** How long a successor waits for the word of the process before it, which looks a few times a second. */
+    /** The process before is asked anew after so long, which looks a few times a second. */
     private static final long ASK_MS = 1_500;
 
     /** All that it serves with; of the first the list and what was learnt are handed on. */
@@ -37,6 +38,7 @@
     private Supplier<String> onMembers = () -> null;
     private Supplier<String> onAsked = () -> null;
     private Consumer<Knowledge> onCalls = calls -> { };
+    private boolean stopping;
 
     private Duty(List<Node> nodes, String balancer, Succession succession) {
         this.nodes = List.copyOf(nodes);
@@ -47,8 +49,8 @@
     }
 
     /**
-     * What the process before this one knows; null where there is none, or nothing that can be believed. Blocks: to be called
-     * before there is anything to serve.
+     * What the process before this one knows; null where there is none, or nothing that can be believed. Blocks until that one has
+     * told it or has ended, as both would serve the same ids otherwise: to be called before there is anything to serve.
      */
     public static Knowledge ask(Succession succession, String balancer, long seed) throws InterruptedException {
         if (!succession.follows()) {
@@ -56,7 +58,12 @@
         }
         byte[] bytes = succession.ask(seed ^ ProcessHandle.current().pid(), ASK_MS);
         if (bytes == null) {
-            Counters.log("hand-over: the process before this one tells nothing");
+            Counters.log("hand-over: the process before this one tells nothing: this one serves when it does, or has ended");
+        }
+        while (bytes == null && succession.isLed()) {
+            bytes = succession.ask(seed ^ ProcessHandle.current().pid(), ASK_MS);
+        }
+        if (bytes == null) {
             return null;
         }
         try {
@@ -75,8 +82,10 @@
         }
         duty.hear();
         duty.first().onSweep(duty::look);
-        if (succession.follows()) {
+        if (succession.follows() || duty.ids.isClaimed()) {
             duty.ids.begin();
+        }
+        if (succession.follows()) {
             duty.first().watch();
             Counters.log("follows another process" + (told == null ? "" : ", which told of "
                     + told.calls().size() + " calls" + (told.learnt() == null ? "" : ", "
@@ -137,10 +146,10 @@
         hear();
         succession.look(() -> {
             Counters.log("a successor asks: it is told what is known");
-            ids.beginAlone(first().unsafeIds());
+            ids.beginLeading(first().unsafeIds());
             return all().encode();
         });
-        if (ids.isActive() && !succession.follows() && !succession.isFollowed()) {
+        if (ids.isActive() && !stopping && !succession.follows() && !succession.isFollowed()) {
             ids.endSoon();
         }
     }
@@ -250,6 +259,7 @@
     /** Stops in order, as it is best with a successor or without. */
     public Future<Void> stop(EventLoop loop) {
         boolean followed = succession.isFollowed();
+        stopping = true;
         Counters.log(followed ? "stops: a successor takes clients" : "stops");
         long longestDeadline = nodes.stream().mapToLong(Node::longestDeadline).max().orElse(0);
         StopPlan plan = followed ? StopPlan.followed(Clock.now(), longestDeadline) : StopPlan.alone(Clock.now(), longestDeadline);
@@ -257,6 +267,9 @@
         PromiseCombiner combiner = new PromiseCombiner(loop);
         nodes.forEach(node -> combiner.add((Future<?>) (followed ? node.leave(plan) : node.stopBy(plan))));
         combiner.finish(all);
+        if (followed) {
+            loop.schedule(succession::leave, plan.answerBy() - Clock.now(), TimeUnit.NANOSECONDS);
+        }
         return all;
     }
 }
--- a/src/main/java/eiderscale/handover/SharedIds.java
+++ b/src/main/java/eiderscale/handover/SharedIds.java
@@ -32,22 +32,32 @@
         this.folder = folder;
     }
 
-    /** Another process begins to serve beside this one, which was alone: its own ids are claimed, and no others. */
-    void beginAlone(Collection<String> own) {
-        clear();
+    /**
+     * Another process begins to serve beside this one: its own ids are claimed, and no others unless those of a process before it
+     * count still.
+     */
+    void beginLeading(Collection<String> own) {
+        if (!active) {
+            clear();
+        }
         begin();
         own.forEach(this::claim);
     }
 
+    /** Whether there are claims of processes before this one, which may have run what they name. */
+    boolean isClaimed() {
+        return folder != null && Files.isDirectory(folder);
+    }
+
     /** This process begins to serve beside another one, which has made its claims. */
     void begin() {
         if (folder == null) {
             return;
         }
+        active = true;
+        endAt = NEVER;
         try {
             Files.createDirectories(folder);
-            active = true;
-            endAt = NEVER;
         } catch (IOException e) {
             failed(e);
         }
@@ -74,19 +84,18 @@
     }
 
     @Override
-    public boolean claim(String id) {
+    public Claim claim(String id) {
         if (!active) {
-            return true;
+            return Claim.GRANTED;
         }
         try {
             Files.createFile(file(id));
-            return true;
+            return Claim.GRANTED;
         } catch (FileAlreadyExistsException e) {
-            return false;
+            return Claim.TAKEN;
         } catch (IOException e) {
-            // Refusing all unsafe work would be worse than serving an id twice that should never come twice.
             failed(e);
-            return true;
+            return Claim.UNKNOWN;
         }
     }
 
@@ -104,7 +113,7 @@
     private void failed(IOException e) {
         if (!hasFailed) {
             hasFailed = true;
-            Counters.log("hand-over: ids of unsafe requests are known to this process alone: " + e);
+            Counters.log("hand-over: ids of unsafe requests can't be claimed, and such requests are refused while another process serves: " + e);
         }
     }
 
--- a/src/main/java/eiderscale/handover/Succession.java
+++ b/src/main/java/eiderscale/handover/Succession.java
@@ -1,5 +1,6 @@
 package eiderscale.handover;
 
+import eiderscale.net.Counters;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -14,8 +15,9 @@
 
 /**
  * One process's place among those that serve as one balancer. The one that serves holds the lock {@code NAME.first}; one
- * that starts while that is held is its successor and holds {@code NAME.next} until the first has ended. Locks end with
- * their process, however it ends, so that nothing that a killed one leaves behind is believed.
+ * that starts while that is held is its successor and holds {@code NAME.next} until the first has ended. {@code NAME.next} comes
+ * first for everybody: who starts while it is held waits, so that a chain of any length has one order, and each process is told by
+ * the one right before it. Locks end with their process, however it ends, so that nothing that a killed one leaves behind is believed.
  *
  * <p>A successor writes a number into {@code NAME.ask}; the first, which looks for it a few times a second, answers with
  * {@code NAME.told}, the number and a record, and from then on knows that it is followed. {@code NAME.calls} holds what
@@ -26,7 +28,10 @@
     /** Files hold at most so much; a longer one is nobody's of ours. */
     private static final int MOST = 8 * 1024 * 1024;
     private static final long LOOK_MS = 10;
+    /** A folder that allows no locks is tried for so long. */
+    private static final long MOST_FAILING_MS = 1_000;
 
+    /** Null where processes share nothing. */
     private final Path folder;
     private final String name;
     private FileChannel first;
@@ -39,16 +44,53 @@
         this.name = name;
     }
 
-    /** Takes the place that is free. {@code folder}: null where processes share nothing. */
-    public static Succession enter(Path folder, String balancer) {
-        Succession own = new Succession(folder, balancer.replaceAll("[^A-Za-z0-9_-]", "_"));
-        if (folder != null) {
-            own.first = own.lock("first");
-            if (own.first == null) {
-                own.next = own.lock("next");
+    /**
+     * Takes the place of the one that serves, or behind it. {@code folder}: null where processes share nothing. Blocks while
+     * another process is about to follow. In a folder that allows no locks there is no place: see {@link #hasPlace}.
+     */
+    public static Succession enter(Path folder, String balancer) throws InterruptedException {
+        String name = balancer.replaceAll("[^A-Za-z0-9_-]", "_");
+        Succession own = new Succession(folder, name);
+        long end = System.nanoTime() + MOST_FAILING_MS * 1_000_000;
+        while (folder != null) {
+            try {
+                own.takePlace();
+                return own;
+            } catch (IOException e) {
+                if (System.nanoTime() > end) {
+                    Counters.log("hand-over: no place among the processes of this balancer, which it can't share its address with: " + e);
+                    break;
+                }
+                Thread.sleep(LOOK_MS);
             }
         }
-        return own;
+        return new Succession(null, name);
+    }
+
+    private void takePlace() throws IOException, InterruptedException {
+        next = lock("next");
+        if (next == null) {
+            Counters.log("hand-over: waits, as another process is about to follow the one that serves");
+        }
+        while (next == null) {
+            Thread.sleep(LOOK_MS);
+            next = lock("next");
+        }
+        stepUp();
+    }
+
+    /** Takes the place of the one that serves, if that is free. */
+    private void stepUp() throws IOException {
+        first = lock("first");
+        if (first != null) {
+            release(next);
+            next = null;
+        }
+    }
+
+    /** Whether other processes can tell that it is there. */
+    public boolean hasPlace() {
+        return folder != null;
     }
 
     /** A folder that the processes of this balancer share; null where they share nothing. */
@@ -60,20 +102,20 @@
         return folder.resolve("stairshelf-" + name + "." + what);
     }
 
-    /** Null if it is held, or the folder allows no locks. */
-    private FileChannel lock(String what) {
-        FileChannel channel = null;
+    /** Null if it is held by another. */
+    private FileChannel lock(String what) throws IOException {
+        FileChannel channel = FileChannel.open(file(what), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock lock = null;
         try {
-            channel = FileChannel.open(file(what), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            FileLock lock = channel.tryLock();
-            if (lock != null) {
-                return channel;
+            lock = channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            // Held by another object of this process.
+        } finally {
+            if (lock == null) {
+                release(channel);
             }
-        } catch (IOException | OverlappingFileLockException e) {
-            // Not to be had.
         }
-        release(channel);
-        return null;
+        return lock == null ? null : channel;
     }
 
     private static void release(FileChannel channel) {
@@ -91,6 +133,19 @@
         return next != null;
     }
 
+    /** Whether the process before this one still runs; where it does not its place is taken. */
+    public boolean isLed() {
+        if (next == null) {
+            return false;
+        }
+        try {
+            stepUp();
+        } catch (IOException e) {
+            // Not known: it may run.
+        }
+        return next != null;
+    }
+
     /**
      * What the first process knows; null if it does not say within {@code mostMs}. Blocks: to be called before there is
      * anything to serve.
@@ -117,11 +172,7 @@
     /** Answers a successor that asks, and steps into the place of a first process that has ended. */
     public void look(Supplier<byte[]> record) {
         if (next != null) {
-            first = lock("first");
-            if (first != null) {
-                release(next);
-                next = null;
-            }
+            isLed();
         } else if (first != null && Files.exists(file("ask"))) {
             byte[] number = read("ask");
             delete("ask");
@@ -140,9 +191,20 @@
         if (!asked || next != null) {
             return false;
         }
-        FileChannel free = lock("next");
-        release(free);
-        return free == null;
+        try {
+            FileChannel free = lock("next");
+            release(free);
+            return free == null;
+        } catch (IOException e) {
+            // Not known: it may run.
+            return true;
+        }
+    }
+
+    /** Gives up the place of the one that serves: nothing that is open here binds those that come. */
+    public void leave() {
+        release(first);
+        first = null;
     }
 
     /** Tells the other process; false if it cannot be told. */
--- a/src/main/java/eiderscale/meta/MetaConnection.java
+++ b/src/main/java/eiderscale/meta/MetaConnection.java
@@ -6,6 +6,7 @@
 import eiderscale.net.ClientServer;
 import eiderscale.net.Clock;
 import eiderscale.net.Core;
+import eiderscale.net.IdClaims;
 import eiderscale.net.Upload;
 import eiderscale.values.ValueRoom;
 import io.netty.buffer.ByteBuf;
@@ -354,11 +355,11 @@
                 // Hosts know requests by their ids alone: it could be served with what was made for the first.
                 throw new MetaCommand.Malformed("id is in use");
             }
-            boolean isClaimed = isUnsafe(command);
-            if (isClaimed && (core().isSpent(command.id()) || !core().claims().claim(command.id()))) {
-                throw new MetaCommand.Malformed("id was in use and may have run");
+            if (isUnsafe(command) && !claim(slot, command)) {
+                refusedHere();
+                slot.refused(command.snapshot().retryAfterMs(PLACE_WAIT), null);
+                return;
             }
-            slot.isClaimed = isClaimed;
             if (!mayAskFor(command.tenant())) {
                 refuse(slot, command.snapshot().retryAfterMs(PLACE_WAIT));
                 return;
@@ -382,6 +383,16 @@
         }
     }
 
+    /** Claims its id for this process; false if that can't be done, and it must not go out. */
+    private boolean claim(Slot slot, MetaCommand command) throws MetaCommand.Malformed {
+        IdClaims.Claim claim = core().isSpent(command.id()) ? IdClaims.Claim.TAKEN : core().claims().claim(command.id());
+        if (claim == IdClaims.Claim.TAKEN) {
+            throw new MetaCommand.Malformed("id was in use and may have run");
+        }
+        slot.isClaimed = claim == IdClaims.Claim.GRANTED;
+        return slot.isClaimed;
+    }
+
     /** Whether it must not run twice, nor a second time under its id. */
     private boolean isUnsafe(MetaCommand command) {
         return front.hosts().knowsIds() && command.classSettings().effect() == Api.Effect.FRAGILE;
--- a/src/main/java/eiderscale/platform/Main.java
+++ b/src/main/java/eiderscale/platform/Main.java
@@ -56,7 +56,7 @@
         Duty duty = loop.submit(() -> Duty.take(List.of(node), config.name(), succession, told)).get();
         // A JVM that SIGTERM ends exits with 143; halting at the end of its hook makes that 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(duty, loop), "stop"));
-        if (folder != null) {
+        if (succession.hasPlace()) {
             // Without it nothing could be handed over, and a second process would only take half of the clients.
             node.share();
         }
--- a/src/main/java/eiderscale/sidecar/Sidecar.java
+++ b/src/main/java/eiderscale/sidecar/Sidecar.java
@@ -117,7 +117,7 @@
                 duty.onAsked(() -> peers.answer(Clock.now(), duty::record));
             }
         }).get();
-        if (app.sharedFolder() != null) {
+        if (succession.hasPlace()) {
             nodes.forEach(Node::share);
         }
         this.addresses = node == null ? List.of() : listen(node, config);
--- a/src/test/java/eiderscale/handover/SuccessionTest.java
+++ b/src/test/java/eiderscale/handover/SuccessionTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -20,7 +21,7 @@
     @TempDir
     Path folder;
 
-    private Succession enter() {
+    private Succession enter() throws InterruptedException {
         return Succession.enter(folder, "n1");
     }
 
@@ -62,6 +63,44 @@
         }
     }
 
+    /** Guards against two processes that know nothing of each other: a third one found both places taken, or the first one's free. */
+    @Test
+    void whoStartsWhileAnotherIsAboutToFollowWaitsForItsPlace() throws Exception {
+        Succession first = enter();
+        try (Succession next = enter()) {
+            CompletableFuture<Succession> third = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return enter();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            });
+            Thread.sleep(100);
+            assertFalse(third.isDone(), "two others have their places");
+            first.close();
+            Thread.sleep(100);
+            assertFalse(third.isDone(), "the place of the first is the next one's");
+            next.look(() -> RECORD);
+            try (Succession last = third.get(20, TimeUnit.SECONDS)) {
+                assertTrue(last.follows());
+                assertArrayEquals(RECORD, askWhile(last, next));
+                assertTrue(next.isFollowed());
+                next.leave();
+                assertFalse(last.isLed(), "it is left to the one behind");
+            }
+        }
+    }
+
+    @Test
+    void aFolderThatAllowsNoLocksGivesNoPlace() throws Exception {
+        Path file = Files.writeString(folder.resolve("file"), "");
+        try (Succession own = Succession.enter(file, "n1")) {
+            assertFalse(own.hasPlace());
+            assertFalse(own.follows());
+            assertFalse(own.isFollowed());
+        }
+    }
+
     @Test
     void withoutAFolderEverybodyIsAlone() throws Exception {
         try (Succession alone = Succession.enter(null, "n1"); Succession other = Succession.enter(null, "n1")) {
@@ -96,7 +135,7 @@
             assertTrue(own.share(RECORD));
         }
         try (var files = Files.list(folder)) {
-            assertEquals(2, files.count());
+            assertEquals(3, files.count(), "both locks, and what is shared");
         }
     }
 
--- a/src/test/java/eiderscale/platform/UpgradeTest.java
+++ b/src/test/java/eiderscale/platform/UpgradeTest.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** One process takes over from another, as the platform starts it: at the same address, with the same folder. */
 class UpgradeTest {
@@ -136,6 +138,90 @@
         }
     }
 
+    /**
+     * Guards against effects that happen twice: a third process that started while the first one still drained found no place, asked
+     * nobody, and served ids that were open at the second.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 300, 500})
+    void anUnsafeIdRunsAtOneOfThreeProcesses(int apartMs) throws Exception {
+        int requests = 8;
+        Programs.Host host = new Programs.Host("s-0") {
+            @Override
+            void answer(String line, String id, java.io.InputStream in, Socket socket) throws IOException {
+                if (line.startsWith("ms held") || line.startsWith("ms once")) {
+                    pause(2_500);
+                }
+                super.answer(line, id, in, socket);
+            }
+        };
+        try (Programs programs = new Programs(folder, host)) {
+            programs.patient(4_000);
+            Program first = programs.start().awaitHealth();
+            // Holds the first process up: it drains for as long as this is open.
+            Socket held = programs.client();
+            held.getOutputStream().write(command("held"));
+            Program second = programs.start().awaitHealth();
+            first.signal("TERM");
+            first.awaitLine("a successor takes clients");
+            List<Socket> leave = new ArrayList<>();
+            for (int i = 0; i < requests; i++) {
+                leave.add(programs.client());
+                leave.get(i).getOutputStream().write(command("once" + i));
+            }
+            Thread.sleep(300);
+            for (Socket socket : leave) {
+                socket.close();
+            }
+            Thread.sleep(apartMs);
+            Program third = programs.start().awaitHealth();
+            second.signal("TERM");
+            second.awaitLine("stops");
+            for (int i = 0; i < requests; i++) {
+                try (Socket again = programs.client()) {
+                    again.getOutputStream().write(command("once" + i));
+                    String answer = Programs.reader(again).readLine();
+                    assertTrue(answer.startsWith("CLIENT_ERROR id "), answer);
+                }
+            }
+            for (int i = 0; i < requests; i++) {
+                String key = "ms once" + i + " ";
+                assertEquals(1, host.commands.stream().filter(line -> line.startsWith(key)).count(), key);
+            }
+            held.close();
+            assertEquals(0, first.end());
+            assertEquals(0, second.end());
+            assertEquals(0, third.stop());
+        }
+    }
+
+    /** Guards against effects that happen twice: where a claim on an id could not be made, both processes carried it out. */
+    @Test
+    void unsafeRequestsAreRefusedWhereTheirIdsCanNotBeClaimed() throws Exception {
+        try (Programs programs = new Programs(folder, 1)) {
+            Program old = programs.start().awaitHealth();
+            // No folder can be made there.
+            Path claims = Files.writeString(folder.resolve("tmp").resolve("stairshelf-n1.ids"), "");
+            Program fresh = programs.start().awaitHealth();
+            for (int i = 0; i < CLIENTS; i++) {
+                try (Socket client = programs.client()) {
+                    client.getOutputStream().write(command("once" + i));
+                    String answer = Programs.reader(client).readLine();
+                    assertTrue(answer.startsWith("SERVER_ERROR busy"), answer);
+                }
+            }
+            ask(programs, CLIENTS);
+            Files.delete(claims);
+            assertEquals(0, programs.hosts.get(0).commands.stream().filter(line -> line.startsWith("ms ")).count());
+            assertEquals(0, old.stop());
+            assertEquals(0, fresh.stop());
+        }
+    }
+
+    private static byte[] command(String key) {
+        return ("ms " + key + " 1 O" + key + " Pc=copy,t=t,d=4000\r\nx\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
     private static void pause(int ms) throws IOException {
         try {
             Thread.sleep(ms);
