Pools of HTTP hosts are known by their names over a reload

What callers saw: behind a reload whose file names the same pools in another order every request went to the other pool's hosts, unsafe writes too, though nothing changes by config diff.

Cause: a pool's number was its place in the file; lists of hosts went out by the new places, while the routes with the old numbers stayed.

Change: pools are numbered in the order of their names, whose set can't change without a restart. The pool of a route that names none, the file's first, is a key in effect, so that a change of it is told and applied.

--- a/src/main/java/eiderscale/config/Diff.java
+++ b/src/main/java/eiderscale/config/Diff.java
@@ -12,10 +12,16 @@
     private Diff() {
     }
 
-    /** Every key in effect, with its value. */
+    /** Every key in effect, with its value; also such as depend on the order of tables and are left out. */
     static Map<String, String> flatten(Values root) {
         Map<String, String> flat = new LinkedHashMap<>();
         flatten("", root, flat);
+        List<Values> pools = root.tables("http-pools");
+        if (pools.size() > 1 && pools.get(0).has("name")) {
+            Key key = pools.get(0).section.key("name");
+            String first = Writer.value(key, pools.get(0).get("name"));
+            root.tables("http-routes").forEach(route -> flat.putIfAbsent("http-routes." + name(route) + ".pool", first));
+        }
         return flat;
     }
 
--- a/src/main/java/eiderscale/config/HttpPart.java
+++ b/src/main/java/eiderscale/config/HttpPart.java
@@ -6,6 +6,7 @@
 import eiderscale.config.Routes.Operation;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,8 +14,13 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What an application's file says of HTTP. Times in nanoseconds. */
-record HttpPart(Values values, List<InetSocketAddress> listeners, List<Pool> pools, List<Route> routes) {
+/**
+ * What an application's file says of HTTP. Times in nanoseconds.
+ *
+ * @param pools in the order of their names, which are their numbers' order: a file that names them in another order means the same
+ * @param firstPool the name of the file's first pool, for routes that name none; empty where there is none
+ */
+record HttpPart(Values values, List<InetSocketAddress> listeners, List<Pool> pools, String firstPool, List<Route> routes) {
     /** Hosts that speak HTTP. */
     record Pool(String path, String name, List<Host> hosts, long connectTimeout, long idle, long sendBuffer) {
     }
@@ -35,12 +41,15 @@
             pools.add(new Pool(pool.path, pool.has("name") ? pool.text("name") : "", Application.hosts(pool),
                     pool.whole("connect-timeout"), pool.whole("idle"), pool.whole("send-buffer")));
         }
+        String firstPool = pools.isEmpty() ? "" : pools.get(0).name();
+        pools.sort(Comparator.comparing(Pool::name));
         List<Route> routes = new ArrayList<>();
         for (Values route : root.tables("http-routes")) {
             routes.add(new Route(route.path, route, route.has("path") ? route.text("path") : "/",
                     route.list("methods").stream().map(String::valueOf).toList(), classes.get(route.text("class"))));
         }
-        return new HttpPart(http, http.list("listen").stream().map(InetSocketAddress.class::cast).toList(), pools, routes);
+        return new HttpPart(http, http.list("listen").stream().map(InetSocketAddress.class::cast).toList(), pools, firstPool,
+                routes);
     }
 
     /** Whether requests with a method change nothing. */
@@ -62,9 +71,9 @@
 
     /** The number of the pool that a route names; negative if there is none of that name. */
     int pool(Route route) {
-        String name = route.values.text("pool");
+        String name = route.values.has("pool") ? route.values.text("pool") : firstPool;
         for (int i = 0; i < pools.size(); i++) {
-            if (name == null || pools.get(i).name.equals(name)) {
+            if (pools.get(i).name.equals(name)) {
                 return i;
             }
         }
