A write overwrites all that is fetched for its target, whatever its method

What callers saw: what a GET had fetched before a DELETE of its target, and was late with, was stored behind the DELETE's answer and served for as long as it was fresh.

Cause: only requests with a body, and failures, marked what was under way; and only fetches that others may wait for could be marked.

Change: http.UnderWay knows all fetches by their targets. A write marks those of its target, and of what its answer takes out, as it goes out, when it is answered and when it fails. The answer to a marked fetch goes to those that wanted it before and leaves the store alone; a late 304 is asked anew.

--- a/src/main/java/eiderscale/http/Fetches.java
+++ b/src/main/java/eiderscale/http/Fetches.java
@@ -28,6 +28,7 @@
     private final HttpFront front;
     private final Joins<CacheKey, Turn, HttpAnswer> joins;
     private final Map<Flight<CacheKey, Turn, HttpAnswer>, Fetching> open = new IdentityHashMap<>();
+    private final UnderWay underWay = new UnderWay();
     /** What is fetched though nobody waits for it, while that is being begun. */
     private HttpCache.Fetch unasked;
     private Origin unaskedOrigin;
@@ -72,9 +73,15 @@
 
     /** A target is being written to, or has been: what is under way for it is not for those that come from now on. */
     void written(CacheKey target) {
+        underWay.written(target);
         joins.joining().written(target);
     }
 
+    /** All that is fetched at present. */
+    UnderWay underWay() {
+        return underWay;
+    }
+
     String gauges() {
         return joins.gauges();
     }
--- a/src/main/java/eiderscale/http/Fetching.java
+++ b/src/main/java/eiderscale/http/Fetching.java
@@ -42,6 +42,8 @@
     private Stored keep;
     private ByteArrayOutputStream body;
     private boolean over;
+    /** Its target was written to since it went out: what it brings is for those alone that wanted it before. */
+    private boolean overwritten;
 
     Fetching(HttpFront front, Fetches fetches, Turn alone, Origin origin, Flight<CacheKey, Turn, HttpAnswer> flight) {
         this.front = front;
@@ -57,6 +59,8 @@
         deadline = until;
         asked = front.nowMs();
         begunAt = Clock.now();
+        overwritten = false;
+        fetches.underWay().begun(what.key(), this);
         if (first != null) {
             first.leads(this);
         }
@@ -84,7 +88,7 @@
     }
 
     void giveUp() {
-        over = true;
+        finish();
         if (answer != null) {
             answer.to(null);
         }
@@ -117,7 +121,8 @@
             }
         }
         Fields fields = front.passed(answer);
-        HttpCache.Outcome outcome = front.cache().answered(fetch, answer.status, fields, asked, front.nowMs());
+        HttpCache.Outcome outcome = isOverwritten() ? front.cache().answeredBehindWrite(fetch, answer.status)
+                : front.cache().answered(fetch, answer.status, fields, asked, front.nowMs());
         if (outcome instanceof HttpCache.Again more && again++ < MOST_AGAIN) {
             answer.discard();
             answer = null;
@@ -126,7 +131,7 @@
         } else if (outcome instanceof HttpCache.Instead instead) {
             int status = answer.status;
             answer.discard();
-            over = true;
+            finish();
             if (first != null) {
                 first.hit(instead.hit(), fetch.reason(), status);
             }
@@ -135,7 +140,7 @@
             pass(pass, fields);
         } else {
             answer.discard();
-            over = true;
+            finish();
             if (first != null) {
                 first.senseless();
             }
@@ -145,8 +150,18 @@
         }
     }
 
+    private void finish() {
+        over = true;
+        fetches.underWay().ended(fetch.key(), this);
+    }
+
+    /** A write of its target is on its way, or has ended. */
+    void overwrite() {
+        overwritten = true;
+    }
+
     private boolean isOverwritten() {
-        return flight != null && flight.isOverwritten();
+        return overwritten || flight != null && flight.isOverwritten();
     }
 
     private void pass(HttpCache.Pass pass, Fields fields) {
@@ -210,7 +225,7 @@
 
     @Override
     public void end() {
-        over = true;
+        finish();
         boolean held = body != null;
         boolean kept = held && !isOverwritten();
         if (held) {
@@ -231,7 +246,7 @@
 
     @Override
     public void cut() {
-        over = true;
+        finish();
         boolean held = body != null;
         drop();
         if (first != null) {
@@ -251,7 +266,7 @@
 
     @Override
     public void refused(long retryAfterMs, Answer last) {
-        over = true;
+        finish();
         HttpAnswer said = (HttpAnswer) last;
         store(said);
         if (flight == null) {
@@ -265,7 +280,7 @@
 
     @Override
     public void failed(Answer last) {
-        over = true;
+        finish();
         HttpAnswer said = (HttpAnswer) last;
         store(said);
         if (flight == null) {
--- a/src/main/java/eiderscale/http/Turn.java
+++ b/src/main/java/eiderscale/http/Turn.java
@@ -293,7 +293,7 @@
         started = true;
         byte[] whole = body == null ? null : body.toByteArray();
         letGo();
-        if (front.cache() != null && head.length() == 0) {
+        if (front.cache() != null && head.length() == 0 && !origin.route().write()) {
             plan(true);
         } else {
             written(head.target());
@@ -452,6 +452,7 @@
             long now = front.nowMs();
             HttpCache.Outcome outcome = front.cache().answered(new HttpCache.Fetch(head.method(), head.target(), sent, sent,
                     null, false, Reuse.Reason.METHOD), direct.status, fields, now, now);
+            written(head.target());
             front.cache().invalidated(head.method(), head.target(), direct.status, fields).forEach(this::written);
             if (outcome instanceof HttpCache.Senseless) {
                 direct.discard();
--- a/src/main/java/eiderscale/http/cache/HttpCache.java
+++ b/src/main/java/eiderscale/http/cache/HttpCache.java
@@ -153,6 +153,24 @@
         return pass(fetch, status, answer, asked, came);
     }
 
+    /**
+     * The same for the answer to a safe request whose target was written to since it went out: it says nothing of what is on the
+     * shelf by now, and is not kept (section 4.4).
+     */
+    public Outcome answeredBehindWrite(Fetch fetch, int status) {
+        if (status != 304) {
+            return new Pass(null, Storing.Verdict.OVERWRITTEN);
+        }
+        if (fetch.own) {
+            return unconditional(fetch);
+        }
+        return isConditional(fetch.request) ? new Pass(null, Storing.Verdict.STATUS) : new Senseless();
+    }
+
+    private static Again unconditional(Fetch fetch) {
+        return new Again(new Fetch(fetch.method, fetch.key, fetch.request, fetch.request, null, false, fetch.reason));
+    }
+
     private Outcome pass(Fetch fetch, int status, Fields answer, long asked, long came) {
         Control control = Control.of(answer);
         Storing.Verdict verdict = Storing.judge(fetch.method, fetch.request, status, answer, control);
@@ -201,8 +219,7 @@
             }
         }
         if (found == null) {
-            Fields bare = fetch.request;
-            return new Again(new Fetch(fetch.method, fetch.key, bare, bare, null, false, fetch.reason));
+            return unconditional(fetch);
         }
         return new Instead(hit(fetch.method, fetch.request, variants.copy(found), came, true));
     }
--- a/src/main/java/eiderscale/http/cache/Storing.java
+++ b/src/main/java/eiderscale/http/cache/Storing.java
@@ -21,6 +21,8 @@
         AUTHORIZED,
         /** It matches no other request. */
         VARY,
+        /** Its target was written to since its request went out. */
+        OVERWRITTEN,
         /** Nothing says that it may be. */
         NOT_ALLOWED
     }
